Serve a thin path from caller to backend server as separate processes

Cause: nothing stood yet. The folders, the core types and one path from end to end in the fixed shape come first: packages by concern, actors that own their sockets and state, validated models at the border, frozen data classes inside, match on data classes.

Conclusion: lookups, orders and an upload go through gateway, agent, directory and administration API on loopback stand-ins.

--- /dev/null
+++ b/src/cardamomdeal/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP proxy fleet for backend servers with gray failures."""
--- /dev/null
+++ b/src/cardamomdeal/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API and command line."""
--- /dev/null
+++ b/src/cardamomdeal/admin/main.py
@@ -0,0 +1,61 @@
+"""Administration API process."""
+
+import logging
+import sys
+
+from cheroot import wsgi
+import pykka
+
+from cardamomdeal.admin import application
+from cardamomdeal.admin import changes
+from cardamomdeal.admin import fleet
+from cardamomdeal.admin import keeper
+from cardamomdeal.admin import operations
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import process
+from cardamomdeal.internal import serving
+from cardamomdeal.platform import client
+from cardamomdeal.settings import load
+from cardamomdeal.settings import model
+from cardamomdeal.telemetry import logs
+
+PROGRAM = 'cardamomdeal-admin'
+THREADS = 4
+STORE_CALL_TIMEOUT_MS = 1_000
+
+log = logging.getLogger(__name__)
+
+
+def main() -> None:
+    """Run an administration API from the command line."""
+    path = process.settings_path(PROGRAM, 'Serve the administration API.')
+    sys.exit(process.run(PROGRAM, lambda: _run(load.load_admin(path))))
+
+
+def _run(settings: model.AdminSettings) -> None:
+    logs.configure(settings.name, settings.place, settings.telemetry.log_level)
+    stop = process.stop_event()
+    time = clock.Clock()
+    platform = client.HttpPlatform(settings.platform, STORE_CALL_TIMEOUT_MS)
+    writer = changes.Changes(platform, settings.store_timeout_ms, time)
+    operating = operations.Operations(
+        settings,
+        keeper.Keeper.start(writer),
+        fleet.Fleet.start(settings, time),
+    )
+    try:
+        server = wsgi.Server(
+            (settings.listen.host, settings.listen.port),
+            application.Application(operating),
+            numthreads=THREADS,
+            max=THREADS,
+        )
+        server.max_request_body_size = application.MAX_BODY_BYTES
+        serving_task = serving.ServerTask(server)
+        serving_task.start()
+        log.info('admin started', extra={'listen': str(settings.listen)})
+        stop.wait()
+        serving_task.finish()
+        log.info('admin stopped')
+    finally:
+        pykka.ActorRegistry.stop_all()
--- /dev/null
+++ b/src/cardamomdeal/admin/operations.py
@@ -0,0 +1,310 @@
+"""Operations of the administration API."""
+
+import dataclasses
+import json
+import secrets
+from typing import Any
+
+import pykka
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cardamomdeal import errors as base_errors
+from cardamomdeal.admin import changes
+from cardamomdeal.admin import errors
+from cardamomdeal.admin import messages
+from cardamomdeal.admin import schema
+from cardamomdeal.configuration import records
+from cardamomdeal.document import check
+from cardamomdeal.document import errors as document_errors
+from cardamomdeal.protocol import messages as protocol
+from cardamomdeal.settings import model
+from cardamomdeal.telemetry import histograms
+
+TRIAL = 'trial'
+PRODUCTION = 'production'
+AGENT_TIMEOUT_S = 2.0
+# A change may take the store's time limit once for each of its keys.
+STORE_TIMEOUT_FACTOR = 4
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+Outcome = Result[Any, base_errors.CardamomdealError]
+
+
+class Operations:
+    """Carry out what operators ask for."""
+
+    def __init__(
+        self,
+        settings: model.AdminSettings,
+        keeper: pykka.ActorRef[Any],
+        fleet: pykka.ActorRef[Any],
+    ) -> None:
+        self._settings = settings
+        self._keeper = keeper
+        self._fleet = fleet
+        self._store_timeout_s = (
+            settings.store_timeout_ms * STORE_TIMEOUT_FACTOR / 1000
+        )
+
+    def check(self, body: schema.CheckBody) -> Outcome:
+        """Check a document and return its digest."""
+        return _checked(body.document).map(
+            lambda canonical: {'digest': check.digest_of(canonical)}
+        )
+
+    def try_document(self, body: schema.TrialBody) -> Outcome:
+        """Put a checked document in force in the trial environment."""
+        match _checked(body.document):
+            case Success(canonical):
+                digest = check.digest_of(canonical)
+                change = changes.Change(
+                    TRIAL, digest, body.change_id, body.expected_version
+                )
+                return self._submit(change, canonical)
+            case failed:
+                return failed
+
+    def promote(self, body: schema.PromoteBody) -> Outcome:
+        """Put the document that was tried in force in production."""
+        change = changes.Change(
+            PRODUCTION, body.digest, body.change_id, body.expected_version
+        )
+        match self._accepted_before(change):
+            case Success(True):
+                pass
+            case Success(False):
+                refusal = self._not_tried(body.digest)
+                if refusal is not None:
+                    return Failure(refusal)
+            case failed:
+                return failed
+        match self._ask_keeper(messages.ReadDocument(body.digest)):
+            case Success(str(text)):
+                return self._submit(change, text.encode())
+            case Success(_):
+                return Failure(
+                    errors.ChangeRefused(
+                        f'digest: no document {body.digest} is stored'
+                    )
+                )
+            case failed:
+                return failed
+
+    def show(self, environment: str) -> Outcome:
+        """Return what is in force in an environment."""
+        match self._ask_keeper(messages.Show(environment)):
+            case Success(changes.Stored(record, _)):
+                return self._with_document(record)
+            case failed:
+                return failed
+
+    def status(self, environment: str) -> Outcome:
+        """Return the state of an environment's hosts."""
+        return self._agent_status(environment).map(_status_body)
+
+    def histograms(self, environment: str) -> Outcome:
+        """Return latencies by tenant and class over all hosts."""
+        match self._agent_status(environment):
+            case Success(status):
+                pass
+            case failed:
+                return failed
+        waiting = [
+            self._question(
+                host.address, protocol.HistogramRequest(secrets.token_hex(8))
+            )
+            for host in (status.host, *status.peers)
+        ]
+        parts: list[protocol.LatencyHistogram] = []
+        silent = 0
+        for future in waiting:
+            try:
+                parts.extend(future.get(timeout=AGENT_TIMEOUT_S).histograms)
+            except pykka.Timeout:
+                silent += 1
+        return Success(_histogram_body(tuple(parts), silent))
+
+    def drain(self, environment: str, host: str) -> Outcome:
+        """Stop the gateways of a host gracefully."""
+        match self._agent_status(environment):
+            case Success(status):
+                pass
+            case failed:
+                return failed
+        for record in (status.host, *status.peers):
+            if record.host == host:
+                return self._answer_of(
+                    record.address, protocol.DrainHost(secrets.token_hex(8))
+                ).map(lambda _: {'draining': host})
+        return Failure(
+            errors.ChangeRefused(f'host: {host} is not among the live hosts')
+        )
+
+    def _submit(self, change: changes.Change, canonical: bytes) -> Outcome:
+        match self._ask_keeper(messages.Submit(change, canonical)):
+            case Success(records.Change() as accepted):
+                head = protocol.Head(
+                    accepted.version, accepted.digest, accepted.change_id
+                )
+                # The fleet learns of it even if the store goes down now.
+                self._fleet.tell(
+                    messages.Announce(
+                        change.environment,
+                        protocol.DocumentOffer(head, canonical),
+                    )
+                )
+                return Success(dataclasses.asdict(accepted))
+            case failed:
+                return failed
+
+    def _accepted_before(
+        self, change: changes.Change
+    ) -> Result[bool, base_errors.CardamomdealError]:
+        return self._ask_keeper(messages.Show(change.environment)).map(
+            lambda stored: stored.record.find(change.change_id) is not None
+        )
+
+    def _not_tried(self, digest: str) -> errors.AdminError | None:
+        match self._agent_status(TRIAL):
+            case Success(status):
+                pass
+            case Failure(error):
+                return errors.ChangeRefused(
+                    f'digest: the trial environment does not answer: {error}'
+                )
+        behind = [
+            host.host
+            for host in (status.host, *status.peers)
+            if not host.ready
+            or host.head is None
+            or host.head.digest != digest
+        ]
+        if behind:
+            return errors.ChangeRefused(
+                f'digest: {digest[:12]} is not in force on trial hosts '
+                f'{", ".join(behind)}; try this document first'
+            )
+        return None
+
+    def _with_document(self, record: records.EnvironmentRecord) -> Outcome:
+        body = dataclasses.asdict(record)
+        if not record.version:
+            return Success({**body, 'document': None})
+        return self._ask_keeper(messages.ReadDocument(record.digest)).map(
+            lambda text: {**body, 'document': json.loads(text)}
+        )
+
+    def _agent_status(
+        self, environment: str
+    ) -> Result[protocol.AgentStatus, errors.AdminError]:
+        agent = self._settings.agents.get(environment)
+        if agent is None:
+            return Failure(
+                errors.ChangeRefused(
+                    f'environment: {environment} has no agent in the settings'
+                )
+            )
+        return self._answer_of(
+            str(agent), protocol.StatusRequest(secrets.token_hex(8))
+        )
+
+    def _answer_of(self, address: str, question: Any) -> Any:
+        try:
+            return Success(
+                self._question(address, question).get(timeout=AGENT_TIMEOUT_S)
+            )
+        except pykka.Timeout:
+            return Failure(
+                errors.StoreUnavailable(f'agent {address} does not answer')
+            )
+
+    def _question(self, address: str, question: Any) -> pykka.Future[Any]:
+        reply = pykka.ThreadingFuture()
+        self._fleet.tell(
+            messages.AskAgent(address, question, question.request_id, reply)
+        )
+        return reply
+
+    def _ask_keeper(self, message: Any) -> Any:
+        try:
+            return self._keeper.ask(message, timeout=self._store_timeout_s)
+        except pykka.Timeout:
+            return Failure(
+                errors.ChangeUnknown(
+                    'the store is slow; send the same change_id again'
+                )
+            )
+
+
+def _checked(
+    document: dict[str, Any],
+) -> Result[bytes, document_errors.DocumentError]:
+    match check.check_document(document):
+        case Success(_):
+            return Success(check.canonical_bytes(document))
+        case Failure(problems):
+            return Failure(document_errors.DocumentRejected(problems))
+
+
+def _status_body(status: protocol.AgentStatus) -> dict[str, Any]:
+    return {
+        'hosts': [
+            {
+                'host': record.host,
+                'agent': record.agent.name,
+                'data_centre': record.data_centre,
+                'version': record.head.version if record.head else 0,
+                'digest': record.head.digest if record.head else None,
+                'ready': record.ready,
+                'gateways': [
+                    {
+                        'name': gateway.incarnation.name,
+                        'address': gateway.address,
+                        'version': gateway.document_version,
+                        'in_flight': gateway.in_flight,
+                        'stopping': gateway.stopping,
+                    }
+                    for gateway in record.gateways
+                ],
+            }
+            for record in (status.host, *status.peers)
+        ],
+        'cut_peers': list(status.cut_peers),
+        'servers': [
+            {
+                'server': state.server,
+                'ejected': state.ejected,
+                'leaving': state.leaving,
+                'weight': state.weight,
+            }
+            for state in status.states
+        ],
+        'counters': status.counters,
+    }
+
+
+def _histogram_body(
+    parts: tuple[protocol.LatencyHistogram, ...], silent: int
+) -> dict[str, Any]:
+    return {
+        'silent_hosts': silent,
+        'latencies': [
+            {
+                'tenant': tenant,
+                'work_class': work_class,
+                'requests': histogram.get_total_count(),
+                'max_ms': histogram.get_max_value(),
+                **{
+                    f'p{percentile:g}_ms': histogram.get_value_at_percentile(
+                        percentile
+                    )
+                    for percentile in PERCENTILES
+                },
+            }
+            for (tenant, work_class), histogram in sorted(
+                histograms.merged(parts).items()
+            )
+        ],
+    }
--- /dev/null
+++ b/src/cardamomdeal/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent process: follows configuration and judges backend servers."""
--- /dev/null
+++ b/src/cardamomdeal/agent/core.py
@@ -0,0 +1,309 @@
+"""Actor that holds what an agent knows and answers for it."""
+
+import collections
+import logging
+import random
+from typing import Any
+
+import pykka
+
+from cardamomdeal.agent import gateways
+from cardamomdeal.agent import messages
+from cardamomdeal.channels import messages as channel
+from cardamomdeal.channels import task
+from cardamomdeal.configuration import adoption
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import ticker
+from cardamomdeal.membership import members
+from cardamomdeal.membership import rendezvous
+from cardamomdeal.platform import service
+from cardamomdeal.protocol import messages as protocol
+from cardamomdeal.settings import model
+from cardamomdeal.telemetry import metrics
+
+STORE_READER_DUTY = 'store-reader'
+
+log = logging.getLogger(__name__)
+
+
+class Core(pykka.ThreadingActor):
+    """Own the channel, the configuration and the members."""
+
+    def __init__(
+        self, settings: model.AgentSettings, time: clock.Clock
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._time = time
+        self._random = random.Random()
+        self._incarnation = protocol.Incarnation(settings.name, time.wall_ms())
+        self._sequence = 0
+        self._adoption = adoption.Adoption()
+        self._members = members.Members(
+            settings.name, settings.seed_peers, settings.peer_timeout_ms
+        )
+        self._gateways = gateways.LocalGateways()
+        self._leaving_addresses: frozenset[str] = frozenset()
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._metrics = metrics.Metrics('agent', settings.telemetry)
+        self._store_reader: pykka.ActorRef[Any] | None = None
+        self._channel = task.ChannelTask(self.actor_ref, settings.listen)
+
+    def on_start(self) -> None:
+        """Start the channel and the clock's ticks."""
+        self._channel.start()
+        self._ticker = ticker.Ticker(
+            self.actor_ref,
+            messages.Tick(),
+            self._settings.gossip_interval_ms,
+        )
+        self._ticker.start()
+
+    def on_stop(self) -> None:
+        """Stop the ticks and close the channel."""
+        self._ticker.stop()
+        self._channel.command(channel.Stop())
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case messages.Tick():
+                self._tick()
+            case channel.Received(sender, received):
+                self._take(sender, received)
+            case channel.Dropped(reason):
+                self._count('messages_dropped')
+                log.warning('message dropped', extra={'reason': reason})
+            case messages.StoreRead(record, canonical):
+                self._take_store_read(record, canonical)
+            case messages.HostsListed(hosts):
+                self._take_hosts(hosts)
+            case messages.StoreCalls(count):
+                self._counters['store_calls'] = count
+            case messages.ReaderStarted(reader):
+                self._store_reader = reader
+
+    def _take(
+        self, sender: channel.Remote, received: protocol.AnyMessage
+    ) -> None:
+        match received:
+            case protocol.GatewayReport():
+                self._answer_gateway(sender, received)
+            case protocol.GatewayHistograms():
+                self._gateways.note_histograms(received)
+            case protocol.Gossip():
+                self._answer_gossip(sender, received)
+            case protocol.GossipReply():
+                self._members.note_reply(received.sender)
+                self._take_records((received.sender, *received.others), sender)
+            case protocol.DocumentRequest(known_version):
+                self._offer_document(sender, known_version)
+            case protocol.DocumentOffer(head, document):
+                self._take_offer(head, document)
+            case protocol.DirectoryQuery():
+                self._answer_directory(sender)
+            case protocol.StatusRequest(request_id):
+                self._send(sender, self._status(request_id))
+            case protocol.HistogramRequest(request_id):
+                self._send(
+                    sender,
+                    protocol.HistogramReply(
+                        request_id, self._gateways.histograms()
+                    ),
+                )
+            case protocol.DrainHost(request_id):
+                self._drain_host()
+                self._send(sender, protocol.Done(request_id))
+            case _:
+                self._count('messages_unexpected')
+
+    def _tick(self) -> None:
+        now_ms = self._time.now_ms()
+        self._sequence += 1
+        self._gateways.forget_silent(now_ms)
+        self._members.forget_silent(now_ms)
+        self._adoption.confirm_from_peers(
+            self._members.advancing_versions(now_ms),
+            self._members.known_count(),
+        )
+        self._choose_store_readers(now_ms)
+        self._gossip(now_ms)
+        self._metrics.gauge('members_live', len(self._members.live(now_ms)))
+        self._metrics.gauge('document_version', self._adoption.version)
+
+    def _choose_store_readers(self, now_ms: int) -> None:
+        if self._store_reader is None:
+            return
+        names = [record.agent.name for record in self._members.live(now_ms)]
+        order = rendezvous.ranked(
+            STORE_READER_DUTY, [*names, self._settings.name]
+        )
+        reads = self._settings.name in order[: self._settings.store_readers]
+        # A host that cannot yet serve asks the store itself.
+        self._store_reader.tell(
+            messages.FollowStore(reads or not self._adoption.ready)
+        )
+
+    def _gossip(self, now_ms: int) -> None:
+        targets = self._members.gossip_targets(
+            self._settings.gossip_fanout, now_ms, self._random
+        )
+        for target in targets:
+            self._members.note_sent(target)
+            self._send(
+                channel.Peer(target),
+                protocol.Gossip(
+                    self._own_record(),
+                    self._members.gossip_records(now_ms, self._random),
+                ),
+            )
+
+    def _answer_gossip(
+        self, sender: channel.Remote, gossip: protocol.Gossip
+    ) -> None:
+        self._take_records((gossip.sender, *gossip.others), sender)
+        self._send(
+            sender,
+            protocol.GossipReply(
+                self._own_record(),
+                self._members.gossip_records(
+                    self._time.now_ms(), self._random
+                ),
+            ),
+        )
+
+    def _take_records(
+        self,
+        records: tuple[protocol.HostRecord, ...],
+        sender: channel.Remote,
+    ) -> None:
+        now_ms = self._time.now_ms()
+        for record in records:
+            self._members.update(record, now_ms)
+        head = records[0].head
+        if head is not None and head.version > self._adoption.version:
+            self._send(
+                sender, protocol.DocumentRequest(self._adoption.version)
+            )
+
+    def _own_record(self) -> protocol.HostRecord:
+        in_force = self._adoption.in_force
+        return protocol.HostRecord(
+            agent=self._incarnation,
+            sequence=self._sequence,
+            host=self._settings.place.host,
+            data_centre=self._settings.place.data_centre,
+            address=str(self._settings.listen),
+            head=in_force.head if in_force else None,
+            ready=self._adoption.ready,
+            gateways=self._gateways.records(),
+            draining_servers=tuple(sorted(self._own_draining())),
+        )
+
+    def _own_draining(self) -> frozenset[str]:
+        in_force = self._adoption.in_force
+        listed = frozenset(
+            server.name
+            for server in (
+                in_force.document.backend_servers if in_force else ()
+            )
+            if str(server.address) in self._leaving_addresses
+        )
+        return self._gateways.draining_servers() | listed
+
+    def _take_store_read(self, record: Any, canonical: bytes | None) -> None:
+        if canonical is not None:
+            self._take_offer(record.head, canonical)
+        elif record.version > self._adoption.version:
+            in_force = self._adoption.in_force
+            if in_force and in_force.head.digest == record.digest:
+                self._take_offer(record.head, in_force.canonical)
+        self._adoption.confirm_from_store(record.version)
+
+    def _take_offer(self, head: protocol.Head, canonical: bytes) -> None:
+        match self._adoption.offer(head, canonical):
+            case adoption.Adopted():
+                log.info('document adopted', extra={'version': head.version})
+                self._gossip(self._time.now_ms())
+                for gateway in self._gateways.all():
+                    self._offer_document(gateway.remote, head.version - 1)
+            case adoption.Refused(problems):
+                self._count('documents_refused')
+                log.error(
+                    'document refused',
+                    extra={'problems': [str(p) for p in problems]},
+                )
+            case adoption.Ignored():
+                pass
+
+    def _take_hosts(self, hosts: tuple[service.ListedHost, ...]) -> None:
+        self._leaving_addresses = frozenset(
+            host.address
+            for host in hosts
+            if host.state is service.HostState.LEAVING
+        )
+
+    def _answer_gateway(
+        self, sender: channel.Remote, report: protocol.GatewayReport
+    ) -> None:
+        self._gateways.note_report(sender, report, self._time.now_ms())
+        self._offer_document(sender, report.record.document_version)
+        self._send(
+            sender,
+            protocol.ServerStates(
+                asked_at_ms=report.asked_at_ms,
+                valid_for_ms=self._settings.ejection_validity_ms,
+                states=self._states(),
+            ),
+        )
+
+    def _states(self) -> tuple[protocol.ServerState, ...]:
+        leaving = self._own_draining().union(
+            *(
+                record.draining_servers
+                for record in self._members.live(self._time.now_ms())
+            )
+        )
+        return tuple(
+            protocol.ServerState(server, False, True, 1.0)
+            for server in sorted(leaving)
+        )
+
+    def _offer_document(self, to: channel.Remote, known_version: int) -> None:
+        in_force = self._adoption.in_force
+        if in_force is None or not self._adoption.ready:
+            return
+        if in_force.head.version > known_version:
+            self._send(
+                to, protocol.DocumentOffer(in_force.head, in_force.canonical)
+            )
+
+    def _answer_directory(self, sender: channel.Remote) -> None:
+        hosts = (
+            self._own_record(),
+            *self._members.live(self._time.now_ms()),
+        )
+        self._send(sender, protocol.DirectoryView(hosts))
+
+    def _status(self, request_id: str) -> protocol.AgentStatus:
+        now_ms = self._time.now_ms()
+        return protocol.AgentStatus(
+            request_id=request_id,
+            host=self._own_record(),
+            peers=self._members.live(now_ms),
+            cut_peers=self._members.cut_peers(now_ms),
+            states=self._states(),
+            counters=dict(self._counters),
+        )
+
+    def _drain_host(self) -> None:
+        for gateway in self._gateways.all():
+            self._send(gateway.remote, protocol.StopGateway())
+
+    def _send(self, to: channel.Remote, message: protocol.AnyMessage) -> None:
+        if not self._channel.command(channel.Send(to, message)):
+            self._count('messages_dropped')
+
+    def _count(self, name: str) -> None:
+        self._counters[name] += 1
+        self._metrics.increment(name)
--- /dev/null
+++ b/src/cardamomdeal/agent/errors.py
@@ -0,0 +1,7 @@
+"""Errors of the agent."""
+
+from cardamomdeal import errors
+
+
+class AgentError(errors.CardamomdealError):
+    """Base of the errors of this package."""
--- /dev/null
+++ b/src/cardamomdeal/agent/main.py
@@ -0,0 +1,47 @@
+"""Agent process."""
+
+import logging
+import sys
+
+import pykka
+
+from cardamomdeal.agent import core
+from cardamomdeal.agent import messages
+from cardamomdeal.agent import store_reader
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import process
+from cardamomdeal.platform import client
+from cardamomdeal.settings import load
+from cardamomdeal.settings import model
+from cardamomdeal.telemetry import logs
+
+PROGRAM = 'cardamomdeal-agent'
+STORE_TIMEOUT_MS = 2_000
+
+log = logging.getLogger(__name__)
+
+
+def main() -> None:
+    """Run an agent from the command line."""
+    path = process.settings_path(PROGRAM, 'Follow configuration and peers.')
+    sys.exit(process.run(PROGRAM, lambda: _run(load.load_agent(path))))
+
+
+def _run(settings: model.AgentSettings) -> None:
+    logs.configure(settings.name, settings.place, settings.telemetry.log_level)
+    stop = process.stop_event()
+    time = clock.Clock()
+    try:
+        core_ref = core.Core.start(settings, time)
+        reader_ref = store_reader.StoreReader.start(
+            settings,
+            core_ref,
+            client.HttpPlatform(settings.platform, STORE_TIMEOUT_MS),
+            time,
+        )
+        core_ref.tell(messages.ReaderStarted(reader_ref))
+        log.info('agent started', extra={'listen': str(settings.listen)})
+        stop.wait()
+        log.info('agent stopped')
+    finally:
+        pykka.ActorRegistry.stop_all()
--- /dev/null
+++ b/src/cardamomdeal/agent/store_reader.py
@@ -0,0 +1,128 @@
+"""Actor that reads configuration and hosts from the platform."""
+
+import logging
+import threading
+from typing import Any
+
+import pykka
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cardamomdeal import errors
+from cardamomdeal.agent import messages
+from cardamomdeal.configuration import records
+from cardamomdeal.internal import clock
+from cardamomdeal.platform import service
+from cardamomdeal.settings import model
+
+RETRY_MS = 1_000
+HOST_LIST_INTERVAL_MS = 5_000
+
+log = logging.getLogger(__name__)
+
+
+class StoreReader(pykka.ThreadingActor):
+    """Own the connection that watches an environment's record."""
+
+    def __init__(
+        self,
+        settings: model.AgentSettings,
+        core: pykka.ActorRef[Any],
+        platform: service.PlatformService,
+        time: clock.Clock,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._core = core
+        self._platform = platform
+        self._time = time
+        self._key = records.environment_key(settings.environment)
+        self._revision = service.ABSENT_REVISION
+        self._following = False
+        self._polling = False
+        self._digest = ''
+        self._hosts_at_ms = -HOST_LIST_INTERVAL_MS
+        self._calls = 0
+        self._pause = threading.Event()
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case messages.FollowStore(follow):
+                self._follow(follow)
+            case messages.Poll():
+                self._poll()
+
+    def _follow(self, follow: bool) -> None:
+        self._following = follow
+        if follow and not self._polling:
+            self._polling = True
+            self.actor_ref.tell(messages.Poll())
+
+    def _poll(self) -> None:
+        if not self._following:
+            self._polling = False
+            return
+        self._read_hosts()
+        match self._read_change():
+            case Success(None):
+                pass
+            case Success(messages.StoreRead() as read):
+                self._core.tell(read)
+            case Failure(error):
+                log.warning('store not read', extra={'reason': str(error)})
+                clock.wait_ms(self._pause, RETRY_MS)
+        self._core.tell(messages.StoreCalls(self._calls))
+        self.actor_ref.tell(messages.Poll())
+
+    def _read_change(
+        self,
+    ) -> Result[messages.StoreRead | None, errors.CardamomdealError]:
+        self._calls += 1
+        seen = self._platform.watch(
+            self._key, self._revision, self._settings.watch_ms
+        )
+        match seen:
+            case Success(service.KeyState(value, revision)):
+                return self._read_document(value, revision)
+            case _:
+                return seen
+
+    def _read_document(
+        self, value: str, revision: int
+    ) -> Result[messages.StoreRead | None, errors.CardamomdealError]:
+        match records.read_record(value):
+            case Failure(error):
+                return Failure(error)
+            case Success(record):
+                pass
+        if record.digest == self._digest:
+            self._revision = revision
+            return Success(messages.StoreRead(record, None))
+        self._calls += 1
+        match self._platform.get(records.document_key(record.digest)):
+            case Success(service.KeyState(text, _)):
+                self._revision = revision
+                self._digest = record.digest
+                return Success(messages.StoreRead(record, text.encode()))
+            case Success(_):
+                return Failure(
+                    errors.CardamomdealError(
+                        f'document {record.digest} is missing'
+                    )
+                )
+            case failed:
+                return failed
+
+    def _read_hosts(self) -> None:
+        now_ms = self._time.now_ms()
+        if now_ms - self._hosts_at_ms < HOST_LIST_INTERVAL_MS:
+            return
+        self._calls += 1
+        match self._platform.hosts():
+            case Success(hosts):
+                self._hosts_at_ms = now_ms
+                self._core.tell(messages.HostsListed(hosts))
+            case Failure(error):
+                log.warning('host list not read', extra={'reason': str(error)})
--- /dev/null
+++ b/src/cardamomdeal/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Client side of the backend servers: connections and answers."""
--- /dev/null
+++ b/src/cardamomdeal/channels/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own the sockets of the inner protocol."""
--- /dev/null
+++ b/src/cardamomdeal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Which configuration is in force and which versions are adopted."""
--- /dev/null
+++ b/src/cardamomdeal/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Directory process: tells callers which gateways to use."""
--- /dev/null
+++ b/src/cardamomdeal/directory/errors.py
@@ -0,0 +1,7 @@
+"""Errors of the directory."""
+
+from cardamomdeal import errors
+
+
+class DirectoryError(errors.CardamomdealError):
+    """Base of the errors of this package."""
--- /dev/null
+++ b/src/cardamomdeal/directory/lookup.py
@@ -0,0 +1,104 @@
+"""Actor that knows which gateways serve which work."""
+
+import random
+from typing import Any
+
+import pykka
+from returns.result import Success
+
+from cardamomdeal.channels import messages as channel
+from cardamomdeal.channels import task
+from cardamomdeal.directory import choice
+from cardamomdeal.directory import messages
+from cardamomdeal.document import load
+from cardamomdeal.document import model as document_model
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import ticker
+from cardamomdeal.protocol import messages as protocol
+from cardamomdeal.settings import model
+
+
+class Lookup(pykka.ThreadingActor):
+    """Follow the agent's view of the gateways and answer from it."""
+
+    def __init__(
+        self, settings: model.DirectorySettings, time: clock.Clock
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._time = time
+        self._random = random.Random()
+        self._agent = channel.Peer(settings.agent)
+        self._hosts: tuple[protocol.HostRecord, ...] = ()
+        self._seen_at_ms = -settings.view_valid_ms
+        self._version = 0
+        self._classes: dict[str, str] = {}
+
+    def on_start(self) -> None:
+        """Open the channel and begin to query."""
+        self._channel = task.ChannelTask(self.actor_ref, None)
+        self._channel.start()
+        self._ticker = ticker.Ticker(
+            self.actor_ref, messages.Tick(), self._settings.query_interval_ms
+        )
+        self._ticker.start()
+        self._query()
+
+    def on_stop(self) -> None:
+        """Close the channel."""
+        self._ticker.stop()
+        self._channel.command(channel.Stop())
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case messages.Tick():
+                return self._query()
+            case messages.FindAddresses():
+                return self._find(message)
+            case channel.Received(_, protocol.DirectoryView(hosts)):
+                self._hosts = hosts
+                self._seen_at_ms = self._time.now_ms()
+            case channel.Received(_, protocol.DocumentOffer() as offer):
+                self._use_document(offer)
+        return None
+
+    def _query(self) -> None:
+        for question in (
+            protocol.DirectoryQuery(self._settings.name),
+            protocol.DocumentRequest(self._version),
+        ):
+            self._channel.command(channel.Send(self._agent, question))
+
+    def _use_document(self, offer: protocol.DocumentOffer) -> None:
+        if offer.head.version <= self._version:
+            return
+        match load.read_document(offer.document, offer.head.digest):
+            case Success(document):
+                self._version = offer.head.version
+                self._classes = {
+                    kind.name: document_model.class_name(kind.work_class)
+                    for kind in document.work_kinds
+                }
+
+    def _find(self, find: messages.FindAddresses) -> messages.Answer:
+        age_ms = self._time.now_ms() - self._seen_at_ms
+        if age_ms > self._settings.view_valid_ms or not self._version:
+            # An older view may name gateways that have stopped since.
+            return messages.NotKnown('no recent word from the agent')
+        work_class = self._classes.get(find.work_kind)
+        if work_class is None:
+            return messages.UnknownWorkKind(tuple(sorted(self._classes)))
+        chosen = choice.choose_gateways(
+            self._hosts,
+            work_class,
+            find.data_centre or self._settings.place.data_centre,
+            self._settings.addresses_per_answer,
+            self._random,
+        )
+        if not chosen:
+            return messages.NotKnown(f'no gateway carries {work_class} work')
+        return messages.Addresses(
+            tuple(gateway.address for gateway in chosen),
+            self._settings.keep_for_ms,
+        )
--- /dev/null
+++ b/src/cardamomdeal/document/__init__.py
@@ -0,0 +1,1 @@
+"""Environment documents: schema, checks and model."""
--- /dev/null
+++ b/src/cardamomdeal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway process: forwards callers' requests to backend servers."""
--- /dev/null
+++ b/src/cardamomdeal/gateway/evidence.py
@@ -0,0 +1,66 @@
+"""Counts what real work shows of the backend servers."""
+
+import dataclasses
+
+from cardamomdeal.protocol import messages
+from cardamomdeal.routing import outcomes
+
+SERVER_ERROR_STATUS = 500
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    successes: int = 0
+    failures: int = 0
+    connect_failures: int = 0
+    refusals: int = 0
+    latency_sum_ms: int = 0
+
+
+class EvidenceCounter:
+    """Count the results of attempts by server and kind of work."""
+
+    def __init__(self) -> None:
+        self._counts: dict[tuple[str, str], _Counts] = {}
+
+    def add(
+        self, server: str, kind: str, result: outcomes.AttemptResult
+    ) -> None:
+        """Count one result."""
+        counts = self._counts.setdefault((server, kind), _Counts())
+        match result:
+            case outcomes.Completed(status, latency_ms, _):
+                counts.latency_sum_ms += latency_ms
+                if status >= SERVER_ERROR_STATUS:
+                    counts.failures += 1
+                else:
+                    counts.successes += 1
+            case outcomes.Broken(latency_ms, _, reused):
+                # A connection that went silent while idle shows a fault of
+                # the path; only a new connection tells of the server.
+                if not reused:
+                    counts.latency_sum_ms += latency_ms
+                    counts.failures += 1
+            case outcomes.NotConnected():
+                counts.connect_failures += 1
+            case outcomes.RefusedByServer():
+                counts.refusals += 1
+            case outcomes.CallerLeft():
+                pass
+
+    def take(self) -> tuple[messages.ServerEvidence, ...]:
+        """Return the counts and start again from zero."""
+        taken = tuple(
+            messages.ServerEvidence(
+                server=server,
+                work_kind=kind,
+                successes=counts.successes,
+                failures=counts.failures,
+                connect_failures=counts.connect_failures,
+                refusals=counts.refusals,
+                latency_sum_ms=counts.latency_sum_ms,
+            )
+            for (server, kind), counts in self._counts.items()
+        )
+        self._counts.clear()
+        return taken
--- /dev/null
+++ b/src/cardamomdeal/health/__init__.py
@@ -0,0 +1,1 @@
+"""Judgement of backend servers and permits to eject them."""
--- /dev/null
+++ b/src/cardamomdeal/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private helpers shared by every package."""
--- /dev/null
+++ b/src/cardamomdeal/internal/address.py
@@ -0,0 +1,41 @@
+"""Host and port pairs."""
+
+import dataclasses
+import ipaddress
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """Name a TCP endpoint by IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        if ':' in self.host:
+            return f'[{self.host}]:{self.port}'
+        return f'{self.host}:{self.port}'
+
+
+def parse_address(text: str) -> Address:
+    """Read `ip:port` and raise ValueError for anything else."""
+    host, separator, port_text = text.rpartition(':')
+    if not separator:
+        raise ValueError(
+            f'{text!r} has no port; write it as IP:PORT, '
+            'for example 192.0.2.10:8080'
+        )
+    host = host.removeprefix('[').removesuffix(']')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(
+            f'{host!r} is not an IP number; hosts are named by IP, '
+            'for example 192.0.2.10:8080'
+        ) from None
+    if not (port_text.isascii() and port_text.isdigit()):
+        raise ValueError(f'port {port_text!r} is not a number')
+    port = int(port_text)
+    if not 0 < port < 65536:
+        raise ValueError(f'port {port} is not between 1 and 65535')
+    return Address(host, port)
--- /dev/null
+++ b/src/cardamomdeal/internal/ticker.py
@@ -0,0 +1,33 @@
+"""Periodic messages to an actor."""
+
+import threading
+from typing import Any
+
+import pykka
+
+from cardamomdeal.internal import clock
+
+
+class Ticker(threading.Thread):
+    """Send one message to an actor at a fixed interval."""
+
+    def __init__(
+        self, actor: pykka.ActorRef[Any], message: Any, interval_ms: int
+    ) -> None:
+        super().__init__(name='ticker', daemon=True)
+        self._actor = actor
+        self._message = message
+        self._interval_ms = interval_ms
+        self._stopped = threading.Event()
+
+    def run(self) -> None:
+        """Send the message until stopped or until the actor is gone."""
+        while not clock.wait_ms(self._stopped, self._interval_ms):
+            try:
+                self._actor.tell(self._message)
+            except pykka.ActorDeadError:
+                return
+
+    def stop(self) -> None:
+        """Send no further message."""
+        self._stopped.set()
--- /dev/null
+++ b/src/cardamomdeal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client side of the platform's key-value service and host list."""
--- /dev/null
+++ b/src/cardamomdeal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of the fleet and their codec."""
--- /dev/null
+++ b/src/cardamomdeal/protocol/messages.py
@@ -0,0 +1,230 @@
+"""Messages that the processes of the fleet exchange."""
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, tag=True):
+    """Base of every inner message."""
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Name the configuration that is in force."""
+
+    version: int
+    digest: str
+    change_id: str
+
+
+class Incarnation(msgspec.Struct, frozen=True, order=True):
+    """Name one life of one process."""
+
+    name: str
+    started_ms: int
+
+
+class GatewayRecord(msgspec.Struct, frozen=True):
+    """Describe one gateway to the directories."""
+
+    incarnation: Incarnation
+    address: str
+    work_classes: tuple[str, ...]
+    stopping: bool
+    ready: bool
+    in_flight: int
+    threads: int
+    document_version: int
+
+
+class HostRecord(msgspec.Struct, frozen=True):
+    """Describe one entry host; only its own agent raises the sequence."""
+
+    agent: Incarnation
+    sequence: int
+    host: str
+    data_centre: str
+    address: str
+    head: Head | None
+    ready: bool
+    gateways: tuple[GatewayRecord, ...]
+    draining_servers: tuple[str, ...]
+
+
+class ServerEvidence(msgspec.Struct, frozen=True):
+    """Count what one interval of real work showed of a backend server."""
+
+    server: str
+    work_kind: str
+    successes: int
+    failures: int
+    connect_failures: int
+    refusals: int
+    latency_sum_ms: int
+
+
+class LatencyHistogram(msgspec.Struct, frozen=True):
+    """Carry one encoded latency histogram."""
+
+    tenant: str
+    work_class: str
+    encoded: bytes
+
+
+class ServerState(msgspec.Struct, frozen=True):
+    """Describe how much work a backend server is to get."""
+
+    server: str
+    ejected: bool
+    leaving: bool
+    weight: float
+
+
+class GatewayReport(Message, frozen=True):
+    """Tell the agent about one gateway and ask for server states."""
+
+    record: GatewayRecord
+    asked_at_ms: int
+    evidence: tuple[ServerEvidence, ...]
+    draining_servers: tuple[str, ...]
+
+
+class ServerStates(Message, frozen=True):
+    """Answer a report with each backend server not in its normal state."""
+
+    asked_at_ms: int
+    valid_for_ms: int
+    states: tuple[ServerState, ...]
+
+
+class GatewayHistograms(Message, frozen=True):
+    """Hand the agent the latency histograms of one gateway."""
+
+    gateway: str
+    histograms: tuple[LatencyHistogram, ...]
+
+
+class StopGateway(Message, frozen=True):
+    """Tell a gateway to stop gracefully."""
+
+
+class DocumentOffer(Message, frozen=True):
+    """Carry a document together with the head that names it."""
+
+    head: Head
+    document: bytes
+
+
+class DocumentRequest(Message, frozen=True):
+    """Ask for the document that is in force."""
+
+    known_version: int
+
+
+class DirectoryQuery(Message, frozen=True):
+    """Ask an agent for the gateways of the fleet."""
+
+    directory: str
+
+
+class DirectoryView(Message, frozen=True):
+    """Answer a directory with the hosts that are live."""
+
+    hosts: tuple[HostRecord, ...]
+
+
+class Gossip(Message, frozen=True):
+    """Tell a peer about this host and a few others."""
+
+    sender: HostRecord
+    others: tuple[HostRecord, ...]
+
+
+class GossipReply(Message, frozen=True):
+    """Answer gossip, so that the sender knows the path works."""
+
+    sender: HostRecord
+    others: tuple[HostRecord, ...]
+
+
+class EvidenceReport(Message, frozen=True):
+    """Report evidence on a service and ask its judge for ejections."""
+
+    agent: Incarnation
+    data_centre: str
+    service: str
+    asked_at_ms: int
+    evidence: tuple[ServerEvidence, ...]
+
+
+class HeldEjections(Message, frozen=True):
+    """Answer with the ejections that the judge holds permits for."""
+
+    judge: Incarnation
+    service: str
+    asked_at_ms: int
+    servers: tuple[str, ...]
+    suspects: tuple[str, ...]
+    returning: tuple[tuple[str, float], ...]
+
+
+class StatusRequest(Message, frozen=True):
+    """Ask an agent for its status."""
+
+    request_id: str
+
+
+class AgentStatus(Message, frozen=True):
+    """Answer with the status of one agent and what it knows of others."""
+
+    request_id: str
+    host: HostRecord
+    peers: tuple[HostRecord, ...]
+    cut_peers: tuple[str, ...]
+    states: tuple[ServerState, ...]
+    counters: dict[str, int]
+
+
+class HistogramRequest(Message, frozen=True):
+    """Ask an agent for the latency histograms of its gateways."""
+
+    request_id: str
+
+
+class HistogramReply(Message, frozen=True):
+    """Answer with the latency histograms of an agent's gateways."""
+
+    request_id: str
+    histograms: tuple[LatencyHistogram, ...]
+
+
+class DrainHost(Message, frozen=True):
+    """Tell an agent to stop the gateways of its host gracefully."""
+
+    request_id: str
+
+
+class Done(Message, frozen=True):
+    """Confirm that a request was carried out."""
+
+    request_id: str
+
+
+AnyMessage = (
+    GatewayReport
+    | ServerStates
+    | GatewayHistograms
+    | StopGateway
+    | DocumentOffer
+    | DocumentRequest
+    | DirectoryQuery
+    | DirectoryView
+    | Gossip
+    | GossipReply
+    | EvidenceReport
+    | HeldEjections
+    | StatusRequest
+    | AgentStatus
+    | HistogramRequest
+    | HistogramReply
+    | DrainHost
+    | Done
+)
--- /dev/null
+++ b/src/cardamomdeal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing decisions: routes, selection, limits and retries."""
--- /dev/null
+++ b/src/cardamomdeal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of the processes."""
--- /dev/null
+++ b/src/cardamomdeal/settings/errors.py
@@ -0,0 +1,7 @@
+"""Errors of settings files."""
+
+from cardamomdeal import errors
+
+
+class SettingsError(errors.CardamomdealError):
+    """Report a settings file that cannot be used."""
--- /dev/null
+++ b/src/cardamomdeal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and histograms."""
