Refuse or fail truthfully what a gateway cannot serve whole

Found and mended, each test red before: - Lookups beside one broken server ran out of retry budget (7 faults in a row): nothing kept work off the server. A gateway now trusts a server less after each failed answer, so retries stay rare. - The HTTP library's own 503 for a full queue named no outcome. A task of ours now takes over such connections, reads what came, answers not-run and closes without a reset. - Chunked bodies passed the size limit; bodies up to 1 MiB are now read before anything is sent, and longer ones are counted. - Content-Length beside Transfer-Encoding, and a negative Content-Length, were forwarded. Both are refused with 400. - 501 and 505 were called unknown although nothing had been forwarded. Ruled out: raising the retry budget, which would amplify an outage.

--- a/devel/backend_standin.py
+++ b/devel/backend_standin.py
@@ -16,7 +16,7 @@
 from cardamomdeal.internal import process
 
 CHUNK_BYTES = 64 * 1024
-MAX_SLOT_WAIT_MS = 0
+POLL_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -371,7 +371,9 @@
     worker = Worker.start(slots, work_ms)
     handler = type('BoundHandler', (Handler,), {'worker': worker})
     server = Server((listen.host, listen.port), handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(
+        target=server.serve_forever, args=(POLL_S,), daemon=True
+    ).start()
     return server, worker
 
 
--- a/src/cardamomdeal/admin/changes.py
+++ b/src/cardamomdeal/admin/changes.py
@@ -7,10 +7,10 @@
 from returns.result import Result
 from returns.result import Success
 
-from cardamomdeal import errors as base_errors
 from cardamomdeal.admin import errors
 from cardamomdeal.configuration import records
 from cardamomdeal.internal import clock
+from cardamomdeal.internal import errors as base_errors
 from cardamomdeal.platform import errors as platform_errors
 from cardamomdeal.platform import service
 
--- a/src/cardamomdeal/admin/errors.py
+++ b/src/cardamomdeal/admin/errors.py
@@ -1,6 +1,6 @@
 """Errors of the administration API."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class AdminError(errors.CardamomdealError):
--- a/src/cardamomdeal/admin/operations.py
+++ b/src/cardamomdeal/admin/operations.py
@@ -10,7 +10,6 @@
 from returns.result import Result
 from returns.result import Success
 
-from cardamomdeal import errors as base_errors
 from cardamomdeal.admin import changes
 from cardamomdeal.admin import errors
 from cardamomdeal.admin import messages
@@ -18,6 +17,7 @@
 from cardamomdeal.configuration import records
 from cardamomdeal.document import check
 from cardamomdeal.document import errors as document_errors
+from cardamomdeal.internal import errors as base_errors
 from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model
 from cardamomdeal.telemetry import histograms
--- a/src/cardamomdeal/agent/errors.py
+++ b/src/cardamomdeal/agent/errors.py
@@ -1,6 +1,6 @@
 """Errors of the agent."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class AgentError(errors.CardamomdealError):
--- a/src/cardamomdeal/agent/store_reader.py
+++ b/src/cardamomdeal/agent/store_reader.py
@@ -9,10 +9,10 @@
 from returns.result import Result
 from returns.result import Success
 
-from cardamomdeal import errors
 from cardamomdeal.agent import messages
 from cardamomdeal.configuration import records
 from cardamomdeal.internal import clock
+from cardamomdeal.internal import errors
 from cardamomdeal.platform import service
 from cardamomdeal.settings import model
 
--- a/src/cardamomdeal/backend/errors.py
+++ b/src/cardamomdeal/backend/errors.py
@@ -1,6 +1,6 @@
 """Errors of exchanges with backend servers."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class BackendError(errors.CardamomdealError):
--- a/src/cardamomdeal/channels/errors.py
+++ b/src/cardamomdeal/channels/errors.py
@@ -1,6 +1,6 @@
 """Errors of the channel tasks."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class ChannelError(errors.CardamomdealError):
--- a/src/cardamomdeal/configuration/errors.py
+++ b/src/cardamomdeal/configuration/errors.py
@@ -1,6 +1,6 @@
 """Errors of the configuration's records."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class ConfigurationError(errors.CardamomdealError):
--- a/src/cardamomdeal/directory/errors.py
+++ b/src/cardamomdeal/directory/errors.py
@@ -1,6 +1,6 @@
 """Errors of the directory."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class DirectoryError(errors.CardamomdealError):
--- a/src/cardamomdeal/document/errors.py
+++ b/src/cardamomdeal/document/errors.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class DocumentError(errors.CardamomdealError):
--- a/src/cardamomdeal/gateway/caller.py
+++ b/src/cardamomdeal/gateway/caller.py
@@ -11,13 +11,14 @@
 from cardamomdeal.backend import answers
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import errors as backend_errors
+from cardamomdeal.gateway import errors
 from cardamomdeal.routing import outcomes
 
 OUTCOME = 'Request-Outcome'
 TENANT = 'Tenant'
 DEFAULT_TENANT = 'none'
 MAX_NAME_CHARACTERS = 64
-REPLAY_BYTES = 64 * 1024
+REPLAY_BYTES = 1024**2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,9 +56,8 @@
 def read_request(environ: dict[str, Any]) -> CallerRequest:
     """Read a request from its WSGI environment."""
     headers = _headers(environ)
-    chunked = 'chunked' in headers.get('Transfer-Encoding', '').lower()
-    length = environ.get('CONTENT_LENGTH') or None
-    body_bytes = None if chunked or length is None else int(length)
+    length = headers.get('Content-Length', '')
+    body_bytes = int(length) if length.isdigit() else None
     path = environ['PATH_INFO'].encode('latin-1').decode('utf-8', 'replace')
     return CallerRequest(
         request_id=_name_in(headers, answers.REQUEST_ID)
@@ -68,23 +68,42 @@
         target=environ['REQUEST_URI'],
         headers=headers,
         body_bytes=body_bytes,
-        has_body=chunked or bool(body_bytes),
+        has_body=_is_chunked(headers) or bool(body_bytes),
         reader=environ['wsgi.input'],
     )
 
 
-def read_body(request: CallerRequest) -> Iterator[bytes]:
-    """Yield the caller's body; raise RequestBodyLost if it is cut."""
-    left = request.body_bytes
-    while left is None or left > 0:
-        chunk = _read_chunk(request, left)
+def refuse_malformed(request: CallerRequest) -> Reply | None:
+    """Refuse a request whose end two readers could see differently."""
+    length = request.headers.get('Content-Length')
+    if length is None:
+        return None
+    if not (length.isascii() and length.isdigit()):
+        reason = f'Content-Length: {length!r} is not a number of bytes'
+    elif _is_chunked(request.headers):
+        reason = 'Content-Length and Transfer-Encoding: send only one'
+    else:
+        return None
+    return failure(400, outcomes.Outcome.NOT_RUN, reason, request.request_id)
+
+
+def read_body(request: CallerRequest, max_body_bytes: int) -> Iterator[bytes]:
+    """Yield the body; raise RequestBodyLost or RequestBodyTooLarge."""
+    size = 0
+    while request.body_bytes is None or size < request.body_bytes:
+        chunk = _read_chunk(request, size)
         if not chunk:
             break
-        if left is not None:
-            left -= len(chunk)
+        size += len(chunk)
+        if size > max_body_bytes:
+            raise errors.RequestBodyTooLarge(
+                f'the limit is {max_body_bytes} bytes'
+            )
         yield chunk
-    if left:
-        raise backend_errors.RequestBodyLost(f'{left} bytes are missing')
+    if request.body_bytes is not None and size < request.body_bytes:
+        raise backend_errors.RequestBodyLost(
+            f'{request.body_bytes - size} bytes are missing'
+        )
 
 
 def failure(
@@ -116,16 +135,20 @@
     return Reply(status, headers, [body])
 
 
-def _read_chunk(request: CallerRequest, left: int | None) -> bytes:
+def _read_chunk(request: CallerRequest, size: int) -> bytes:
     wanted = connection.CHUNK_BYTES
+    if request.body_bytes is not None:
+        wanted = min(wanted, request.body_bytes - size)
     try:
-        return request.reader.read(
-            wanted if left is None else min(wanted, left)
-        )
+        return request.reader.read(wanted)
     except (OSError, ValueError) as error:
         raise backend_errors.RequestBodyLost(str(error)) from error
 
 
+def _is_chunked(headers: dict[str, str]) -> bool:
+    return 'Transfer-Encoding' in headers
+
+
 def _headers(environ: dict[str, Any]) -> dict[str, str]:
     headers = {
         key[5:].replace('_', '-').title(): value
--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -224,15 +224,18 @@
         view = request.view
         self._evidence.add(view.server.name, request.kind.name, result)
         match result:
-            case outcomes.Completed(_, _, signals):
+            case outcomes.Completed(status, _, signals):
                 view.note_signals(signals, now_ms)
+                view.note_result(status < evidence.SERVER_ERROR_STATUS)
             case outcomes.RefusedByServer(_, signals):
                 view.note_signals(signals, now_ms)
             case outcomes.NotConnected():
                 view.note_unreachable(now_ms)
                 self._idle.drop(view.server.name)
-            case outcomes.Broken():
+            case outcomes.Broken(_, _, connection_reused):
                 self._idle.drop(view.server.name)
+                if not connection_reused:
+                    view.note_result(False)
             case outcomes.CallerLeft():
                 pass
 
--- a/src/cardamomdeal/gateway/errors.py
+++ b/src/cardamomdeal/gateway/errors.py
@@ -1,6 +1,6 @@
 """Errors of the gateway."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class GatewayError(errors.CardamomdealError):
@@ -9,3 +9,7 @@
 
 class AnswerCutShort(GatewayError):
     """End an answer that was begun, so that it does not look whole."""
+
+
+class RequestBodyTooLarge(GatewayError):
+    """Report a request body over the limit of its kind of work."""
--- a/src/cardamomdeal/gateway/forwarding.py
+++ b/src/cardamomdeal/gateway/forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import itertools
 import logging
 from typing import Any
 
@@ -91,7 +92,24 @@
                     decision.allowed,
                 )
             case messages.Assigned():
-                return _Exchange(self, request, decision).run()
+                return self._exchange(request, decision)
+
+    def _exchange(
+        self, request: caller.CallerRequest, assigned: messages.Assigned
+    ) -> caller.Reply:
+        try:
+            exchange = _Exchange(self, request, assigned)
+        except BaseException:
+            # Nothing was sent yet: the slot goes back unused.
+            self._dispatcher.tell(
+                messages.Finished(
+                    assigned.ticket,
+                    outcomes.CallerLeft(),
+                    assigned.connection,
+                )
+            )
+            raise
+        return exchange.run()
 
     def _ask(self, message: Any) -> Any:
         return self._dispatcher.ask(message, timeout=ASK_TIMEOUT_MS / 1000)
@@ -112,7 +130,7 @@
         self._time = forwarder._time
         self._request = request
         self._assigned = assigned
-        self._replay = _replayable_body(request)
+        self._body = _Body(request, assigned.kind.max_body_bytes)
         self._may_have_run = False
 
     def run(self) -> caller.Reply:
@@ -138,7 +156,7 @@
 
     def _assigned_again(self, result: outcomes.AttemptResult) -> bool:
         retry = messages.Retry(
-            self._assigned.ticket, result, self._replay is not None
+            self._assigned.ticket, result, self._body.replayable
         )
         match self._ask(retry):
             case messages.Assigned() as assigned:
@@ -161,7 +179,10 @@
             latency_ms = self._time.now_ms() - started_ms
             reason = str(error) or type(error).__name__
             return _Failed(outcomes.Broken(latency_ms, reason, reused), reason)
-        except backend_errors.RequestBodyLost as error:
+        except (
+            backend_errors.RequestBodyLost,
+            errors.RequestBodyTooLarge,
+        ) as error:
             used.close()
             return _Failed(outcomes.CallerLeft(), str(error))
         except BaseException:
@@ -217,17 +238,10 @@
                     request.headers, request.request_id, max(0, left_ms)
                 )
             ),
-            body=self._body(),
+            body=self._body.chunks(),
             body_bytes=request.body_bytes,
         )
 
-    def _body(self) -> Iterable[bytes] | None:
-        if not self._request.has_body:
-            return None
-        if self._replay is None:
-            return caller.read_body(self._request)
-        return [self._replay]
-
     def _reply(self, begun: _Begun) -> caller.Reply:
         headers = [
             (name, value)
@@ -334,12 +348,35 @@
         self._exchange._finish(result, used)
 
 
-def _replayable_body(request: caller.CallerRequest) -> bytes | None:
-    if not request.has_body:
-        return b''
-    if request.body_bytes is None or request.body_bytes > caller.REPLAY_BYTES:
-        return None
-    return b''.join(caller.read_body(request))
+class _Body:
+    """Read a request's body ahead, so that it can be sent again."""
+
+    def __init__(
+        self, request: caller.CallerRequest, max_body_bytes: int
+    ) -> None:
+        self._unread = iter(())
+        self._start: list[bytes] = []
+        self._has_body = request.has_body
+        self.replayable = True
+        if request.has_body:
+            self._unread = caller.read_body(request, max_body_bytes)
+            self._read_ahead(request.body_bytes or 0)
+
+    def chunks(self) -> Iterable[bytes] | None:
+        """Return the body, or None when there is none."""
+        if not self._has_body:
+            return None
+        return itertools.chain(self._start, self._unread)
+
+    def _read_ahead(self, body_bytes: int) -> None:
+        size = 0
+        while body_bytes <= caller.REPLAY_BYTES >= size:
+            chunk = next(self._unread, None)
+            if chunk is None:
+                return
+            self._start.append(chunk)
+            size += len(chunk)
+        self.replayable = False
 
 
 def _read_ahead(
--- a/src/cardamomdeal/gateway/server.py
+++ b/src/cardamomdeal/gateway/server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
+import queue
 import threading
 from typing import Any
 
@@ -11,13 +12,16 @@
 
 from cardamomdeal.backend import errors as backend_errors
 from cardamomdeal.gateway import caller
+from cardamomdeal.gateway import errors
 from cardamomdeal.gateway import forwarding
+from cardamomdeal.gateway import refusals
 from cardamomdeal.routing import outcomes
 from cardamomdeal.settings import model
 
 MAX_HEADER_BYTES = 64 * 1024
 QUEUED_CONNECTIONS_PER_THREAD = 2
 QUEUE_TIMEOUT_S = 0.05
+INTERNAL_ERROR = '500'
 
 log = logging.getLogger(__name__)
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -39,7 +43,7 @@
     ) -> Iterable[bytes]:
         """Serve one request."""
         request = caller.read_request(environ)
-        reply = self._serve(request)
+        reply = caller.refuse_malformed(request) or self._serve(request)
         headers = list(reply.headers)
         if self._leaving.is_set():
             headers.append(('Connection', 'close'))
@@ -56,6 +60,13 @@
                 f'the request body was cut short: {error}',
                 request.request_id,
             )
+        except errors.RequestBodyTooLarge as error:
+            return caller.failure(
+                413,
+                outcomes.Outcome.NOT_RUN,
+                f'the request body is too large: {error}',
+                request.request_id,
+            )
         except Exception:
             log.exception(
                 'request failed', extra={'request_id': request.request_id}
@@ -72,13 +83,11 @@
     """Say in the server's own error answers whether the work was run."""
 
     def simple_response(self, status: str, msg: str = '') -> None:
-        code = int(status[:3])
-        # The server answers 4xx before it hands a request on, and 503 when
-        # it has no thread for it.
-        not_run = code < 500 or code == 503
-        outcome = (
-            outcomes.Outcome.NOT_RUN if not_run else outcomes.Outcome.UNKNOWN
-        )
+        # Every other answer of the server itself comes before it hands a
+        # request to the application.
+        outcome = outcomes.Outcome.NOT_RUN
+        if status.startswith(INTERNAL_ERROR):
+            outcome = outcomes.Outcome.UNKNOWN
         body = (msg or status).encode()
         lines = [
             f'{self.server.protocol} {status}',
@@ -98,11 +107,33 @@
     RequestHandlerClass = _CallerRequest
 
 
+class GatewayServer(wsgi.Server):
+    """Refuse truthfully what there is no thread for."""
+
+    def prepare(self) -> None:
+        """Listen and start the threads."""
+        super().prepare()
+        self._refusals = refusals.RefusalTask()
+        self._refusals.start()
+
+    def process_conn(self, conn: cheroot_server.HTTPConnection) -> None:
+        """Queue a connection that has a request, or refuse it."""
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            self._refusals.refuse(conn)
+
+    def stop(self) -> None:
+        """Stop listening and let requests in flight end."""
+        super().stop()
+        self._refusals.stop()
+
+
 def build_server(
     settings: model.GatewaySettings, application: Application
-) -> wsgi.Server:
+) -> GatewayServer:
     """Build the server that runs the application; it is not started."""
-    built = wsgi.Server(
+    built = GatewayServer(
         (settings.listen.host, settings.listen.port),
         application,
         numthreads=settings.threads,
--- a/src/cardamomdeal/internal/process.py
+++ b/src/cardamomdeal/internal/process.py
@@ -7,7 +7,7 @@
 import sys
 import threading
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/src/cardamomdeal/internal/serving.py
+++ b/src/cardamomdeal/internal/serving.py
@@ -1,10 +1,14 @@
 """Runs an HTTP server until its process is told to stop."""
 
+import logging
 import threading
 
 from cheroot import server as cheroot_server
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
+
+
+log = logging.getLogger(__name__)
 
 
 class ListenFailed(errors.CardamomdealError):
@@ -18,6 +22,7 @@
         """Listen at once; raise ListenFailed when that fails."""
         super().__init__(name='http-server', daemon=True)
         self._server = server
+        server.error_log = _log_server_error
         host, port = server.bind_addr
         try:
             server.prepare()
@@ -34,3 +39,10 @@
         """Stop listening, let requests in flight end, and return."""
         self._server.stop()
         self.join()
+
+
+def _log_server_error(
+    msg: str = '', level: int = logging.INFO, traceback: bool = False
+) -> None:
+    log.log(level, 'connection failed', extra={'reason': msg})
+    log.debug('traceback', exc_info=traceback)
--- a/src/cardamomdeal/platform/errors.py
+++ b/src/cardamomdeal/platform/errors.py
@@ -1,6 +1,6 @@
 """Errors of the platform's service."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class PlatformError(errors.CardamomdealError):
--- a/src/cardamomdeal/protocol/errors.py
+++ b/src/cardamomdeal/protocol/errors.py
@@ -1,6 +1,6 @@
 """Errors of the inner protocol."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class ProtocolError(errors.CardamomdealError):
--- a/src/cardamomdeal/routing/errors.py
+++ b/src/cardamomdeal/routing/errors.py
@@ -1,6 +1,6 @@
 """Errors of the routing decisions."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class RoutingError(errors.CardamomdealError):
--- a/src/cardamomdeal/routing/selection.py
+++ b/src/cardamomdeal/routing/selection.py
@@ -71,6 +71,7 @@
 ) -> servers.ServerView:
     weights = [
         standings.get(view.server.name, servers.NORMAL).weight
+        * view.trust
         * view.server.slots
         for view in group
     ]
--- a/src/cardamomdeal/routing/servers.py
+++ b/src/cardamomdeal/routing/servers.py
@@ -8,6 +8,11 @@
 LOAD_VALID_MS = 1_000
 DRAIN_MARK_MS = 60_000
 CONNECT_FAILURE_MARK_MS = 1_000
+# A server whose answers fail keeps this share of its work at the least, so
+# that its recovery shows.
+MIN_TRUST = 0.02
+TRUST_AFTER_FAILURE = 0.3
+TRUST_AFTER_SUCCESS = 1.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +39,7 @@
     others_slots: int = 0
     draining_until_ms: int = 0
     unreachable_until_ms: int = 0
+    trust: float = 1.0
 
     def note_signals(self, signals: answers.Signals, now_ms: int) -> None:
         """Take in what an answer of the server said."""
@@ -51,6 +57,11 @@
         """Take in that no connection could be made."""
         self.unreachable_until_ms = now_ms + CONNECT_FAILURE_MARK_MS
 
+    def note_result(self, succeeded: bool) -> None:
+        """Trust the server more or less after an answer."""
+        factor = TRUST_AFTER_SUCCESS if succeeded else TRUST_AFTER_FAILURE
+        self.trust = min(1.0, max(MIN_TRUST, self.trust * factor))
+
     def used_slots(self, now_ms: int) -> int:
         """Return the slots in use, as far as this gateway can tell."""
         if now_ms - self.load_at_ms > LOAD_VALID_MS:
--- a/src/cardamomdeal/settings/errors.py
+++ b/src/cardamomdeal/settings/errors.py
@@ -1,6 +1,6 @@
 """Errors of settings files."""
 
-from cardamomdeal import errors
+from cardamomdeal.internal import errors
 
 
 class SettingsError(errors.CardamomdealError):
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,210 @@
+"""A gateway with its stand-ins in the test's own process."""
+
+import json
+from typing import Any
+import unittest
+
+import pykka
+import urllib3
+
+from cardamomdeal.gateway import dispatcher
+from cardamomdeal.gateway import forwarding
+from cardamomdeal.gateway import messages
+from cardamomdeal.gateway import server as gateway_server
+from cardamomdeal.internal import address
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import serving
+from cardamomdeal.routing import servers
+from cardamomdeal.settings import model
+from devel import backend_standin
+from devel import fleet
+
+SHORT_DEADLINE_MS = 1_000
+
+
+def small_document(
+    server_count: int = 3, slots: int = 3, deadline_ms: int = SHORT_DEADLINE_MS
+) -> dict[str, Any]:
+    """Return a document with one service and every kind of work."""
+    return {
+        'name': 'small',
+        'region': 'nordur',
+        'data_centres': ['nordur-a', 'nordur-b'],
+        'services': [{'name': 'pantanir', 'floor_slots': slots}],
+        'backend_servers': [
+            {
+                'name': f'pantanir-{index + 1}',
+                'service': 'pantanir',
+                'data_centre': 'nordur-a',
+                'address': fleet.free_address(),
+                'slots': slots,
+                'max_connections': 100,
+            }
+            for index in range(server_count)
+        ],
+        'work_kinds': [
+            work_kind('stock', ['GET', 'HEAD'], '/stock', True, deadline_ms),
+            work_kind('order', ['POST'], '/orders', False, deadline_ms),
+            {
+                **work_kind('photos', ['PUT'], '/photos', True, 60_000),
+                'work_class': 'upload',
+                'idle_timeout_ms': 2_000,
+                'max_body_bytes': 1024**3,
+            },
+        ],
+    }
+
+
+def work_kind(
+    name: str,
+    methods: list[str],
+    prefix: str,
+    idempotent: bool,
+    deadline_ms: int,
+) -> dict[str, Any]:
+    """Return one short kind of work of the small service."""
+    return {
+        'name': name,
+        'service': 'pantanir',
+        'methods': methods,
+        'path_prefix': prefix,
+        'idempotent': idempotent,
+        'work_class': 'short',
+        'deadline_ms': deadline_ms,
+    }
+
+
+def gateway_settings(**changed: Any) -> model.GatewaySettings:
+    """Return settings of a gateway on a free address."""
+    values: dict[str, Any] = {
+        'name': 'gateway-1',
+        'place': model.Place('entry-1', 'nordur', 'nordur-a'),
+        'telemetry': model.Telemetry(None, 'ERROR'),
+        'listen': address.parse_address(fleet.free_address()),
+        'agent': address.parse_address(fleet.free_address()),
+        'work_classes': frozenset(('short', 'upload')),
+        'threads': 16,
+        'keep_for_ms': 100,
+        'notice_ms': 100,
+        'report_interval_ms': 200,
+        'connect_timeout_ms': 300,
+        'caller_timeout_ms': 2_000,
+        'stop_timeout_ms': 10_000,
+    }
+    return model.GatewaySettings(**{**values, **changed})
+
+
+class GatewayCase(unittest.TestCase):
+    """Give each test a gateway before backend server stand-ins."""
+
+    server_count = 3
+    work_ms = 1
+    gateway_changes: dict[str, Any] = {}
+
+    def setUp(self) -> None:
+        self.document = small_document(self.server_count)
+        self.workers: dict[str, pykka.ActorRef[Any]] = {}
+        self.backends: dict[str, backend_standin.Server] = {}
+        for item in self.document['backend_servers']:
+            self.start_backend(item['name'])
+        self.settings = gateway_settings(**self.gateway_changes)
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self.start_gateway()
+
+    def tearDown(self) -> None:
+        self.serving.finish()
+        for backend in self.backends.values():
+            backend.shutdown()
+            backend.server_close()
+        pykka.ActorRegistry.stop_all()
+
+    def start_gateway(self) -> None:
+        self.dispatcher = dispatcher.Dispatcher.start(
+            self.settings, clock.Clock()
+        )
+        forwarder = forwarding.Forwarder(
+            self.settings, self.dispatcher, clock.Clock()
+        )
+        self.serving = serving.ServerTask(
+            gateway_server.build_server(
+                self.settings, gateway_server.Application(forwarder)
+            )
+        )
+        self.serving.start()
+        self.dispatcher.ask(
+            messages.DocumentInForce(1, fleet.check_model(self.document))
+        )
+
+    def start_backend(self, name: str) -> None:
+        item = self.server_item(name)
+        self.backends[name], self.workers[name] = backend_standin.start_server(
+            address.parse_address(item['address']), item['slots'], self.work_ms
+        )
+
+    def stop_backend(self, name: str) -> None:
+        backend = self.backends.pop(name)
+        backend.shutdown()
+        backend.server_close()
+
+    def server_item(self, name: str) -> dict[str, Any]:
+        return next(
+            item
+            for item in self.document['backend_servers']
+            if item['name'] == name
+        )
+
+    def behave(self, name: str, **changed: Any) -> None:
+        self.workers[name].ask(backend_standin.Change(changed))
+
+    def behave_all(self, **changed: Any) -> None:
+        for name in self.workers:
+            self.behave(name, **changed)
+
+    def stand(self, **standings: servers.Standing) -> None:
+        self.dispatcher.ask(
+            messages.StandingsInForce(
+                {
+                    name.replace('_', '-'): standing
+                    for name, standing in standings.items()
+                },
+                clock.Clock().now_ms() + 60_000,
+            )
+        )
+
+    def send(
+        self, method: str, path: str, request_id: str = 'request-1', **options
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {'Request-Id': request_id, **options.pop('headers', {})}
+        return self.http.request(
+            method,
+            f'http://{self.settings.listen}{path}',
+            headers=headers,
+            **options,
+        )
+
+    def executions(self, request_id: str = 'request-1') -> int:
+        return sum(
+            worker.ask(backend_standin.GetCounts())['executed'].get(
+                request_id, 0
+            )
+            for worker in self.workers.values()
+        )
+
+    def received(self) -> dict[str, int]:
+        return {
+            name: worker.ask(backend_standin.GetCounts())['received']
+            for name, worker in self.workers.items()
+        }
+
+    def assert_failed(
+        self,
+        answer: urllib3.BaseHTTPResponse,
+        status: int,
+        outcome: str,
+    ) -> None:
+        self.assertEqual(
+            (status, outcome),
+            (answer.status, answer.headers.get('Request-Outcome')),
+            answer.data,
+        )
+        self.assertEqual(outcome, json.loads(answer.data)['outcome'])
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts of the project."""
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Sets up, checks the style and runs the tests.
+. "$(dirname "$0")/setup.sh"
+.venv/bin/ruff format --check src devel tests tools bench
+.venv/bin/ruff check src devel tests tools bench
+.venv/bin/flake8 src devel tests tools bench
+exec .venv/bin/python -m tools.run_tests "$@"
