Judge backend servers by real work and eject them under permits

Cause: health endpoints mislead, and no agent sees enough by itself. Gateways count the results of real work by server and kind; agents send them to two judges for each service, chosen by rendezvous hashing. Agents pull ejections, and count their validity from when they asked.

Ruled out: ejection by each agent within its own floor (the union breaks the floor), and a leader for all services (nothing here may run a consensus).

--- a/src/cardamomdeal/agent/core.py
+++ b/src/cardamomdeal/agent/core.py
@@ -8,10 +8,14 @@
 import pykka
 
 from cardamomdeal.agent import gateways
+from cardamomdeal.agent import judge
 from cardamomdeal.agent import messages
 from cardamomdeal.channels import messages as channel
 from cardamomdeal.channels import task
 from cardamomdeal.configuration import adoption
+from cardamomdeal.health import permits
+from cardamomdeal.health import views
+from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import ticker
 from cardamomdeal.membership import members
@@ -30,7 +34,10 @@
     """Own the channel, the configuration and the members."""
 
     def __init__(
-        self, settings: model.AgentSettings, time: clock.Clock
+        self,
+        settings: model.AgentSettings,
+        incarnation: protocol.Incarnation,
+        time: clock.Clock,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -44,6 +51,12 @@
         )
         self._gateways = gateways.LocalGateways()
         self._leaving_addresses: frozenset[str] = frozenset()
+        self._listed_hosts: frozenset[str] = frozenset()
+        self._removed_hosts: frozenset[str] = frozenset()
+        self._judge: pykka.ActorRef[Any] | None = None
+        self._answers = views.JudgeAnswers(settings.ejection_validity_ms)
+        self._evidence: list[protocol.ServerEvidence] = []
+        self._judged_at_ms = 0
         self._counters: collections.Counter[str] = collections.Counter()
         self._metrics = metrics.Metrics('agent', settings.telemetry)
         self._store_reader: pykka.ActorRef[Any] | None = None
@@ -82,6 +95,12 @@
                 self._counters['store_calls'] = count
             case messages.ReaderStarted(reader):
                 self._store_reader = reader
+            case messages.JudgeStarted(judge_ref):
+                self._judge = judge_ref
+            case messages.Answer(None, held):
+                self._answers.take(held)
+            case messages.Answer(to, held):
+                self._send(to, held)
 
     def _take(
         self, sender: channel.Remote, received: protocol.AnyMessage
@@ -111,6 +130,11 @@
                         request_id, self._gateways.histograms()
                     ),
                 )
+            case protocol.EvidenceReport():
+                if self._judge is not None:
+                    self._judge.tell(messages.EvidenceFrom(sender, received))
+            case protocol.HeldEjections():
+                self._answers.take(received)
             case protocol.DrainHost(request_id):
                 self._drain_host()
                 self._send(sender, protocol.Done(request_id))
@@ -128,22 +152,93 @@
         )
         self._choose_store_readers(now_ms)
         self._gossip(now_ms)
+        if now_ms - self._judged_at_ms >= self._settings.judge_interval_ms:
+            self._judged_at_ms = now_ms
+            self._report_evidence(now_ms)
+            self._judge_now(now_ms)
         self._metrics.gauge('members_live', len(self._members.live(now_ms)))
         self._metrics.gauge('document_version', self._adoption.version)
 
     def _choose_store_readers(self, now_ms: int) -> None:
         if self._store_reader is None:
             return
-        names = [record.agent.name for record in self._members.live(now_ms)]
-        order = rendezvous.ranked(
-            STORE_READER_DUTY, [*names, self._settings.name]
-        )
-        reads = self._settings.name in order[: self._settings.store_readers]
+        names = self._live_agents(now_ms)
+        order = rendezvous.ranked(STORE_READER_DUTY, names)
+        reads = self._settings.name in order[
+            : self._settings.store_readers
+        ] or self._is_primary_judge(names)
         # A host that cannot yet serve asks the store itself.
         self._store_reader.tell(
             messages.FollowStore(reads or not self._adoption.ready)
         )
 
+    def _live_agents(self, now_ms: int) -> tuple[str, ...]:
+        live = self._members.live(now_ms)
+        return (self._settings.name, *(r.agent.name for r in live))
+
+    def _is_primary_judge(self, names: tuple[str, ...]) -> bool:
+        # Primary judges need the host list, to know which holders of
+        # permits are gone.
+        return any(
+            judge.judges_of(judged.name, names)[0] == self._settings.name
+            for judged in self._adoption.services
+        )
+
+    def _report_evidence(self, now_ms: int) -> None:
+        """Send each service's evidence to its judges."""
+        addresses = {
+            record.agent.name: address.parse_address(record.address)
+            for record in self._members.live(now_ms)
+        }
+        names = self._live_agents(now_ms)
+        service_of = {
+            server.name: server.service
+            for server in self._adoption.backend_servers
+        }
+        for judged in self._adoption.services:
+            report = protocol.EvidenceReport(
+                reporter=self._settings.name,
+                data_centre=self._settings.place.data_centre,
+                service=judged.name,
+                asked_at_ms=now_ms,
+                evidence=tuple(
+                    item
+                    for item in self._evidence
+                    if service_of.get(item.server) == judged.name
+                ),
+            )
+            for name in judge.judges_of(judged.name, names):
+                self._report_to(name, addresses, report)
+        self._evidence = []
+
+    def _report_to(
+        self,
+        name: str,
+        addresses: dict[str, address.Address],
+        report: protocol.EvidenceReport,
+    ) -> None:
+        if name in addresses:
+            self._send(channel.Peer(addresses[name]), report)
+        elif self._judge is not None:
+            self._judge.tell(messages.EvidenceFrom(None, report))
+
+    def _judge_now(self, now_ms: int) -> None:
+        in_force = self._adoption.in_force
+        if in_force is None or self._judge is None:
+            return
+        incarnations = self._members.incarnations()
+        incarnations[self._settings.name] = self._incarnation
+        self._judge.tell(
+            messages.JudgeNow(
+                document=in_force.document,
+                live_agents=self._live_agents(now_ms),
+                leaving_servers=self._leaving_servers(now_ms),
+                incarnations=incarnations,
+                removed_agents=self._members.agents_on(self._removed_hosts)
+                | self._removed_hosts,
+            )
+        )
+
     def _gossip(self, now_ms: int) -> None:
         targets = self._members.gossip_targets(
             self._settings.gossip_fanout, now_ms, self._random
@@ -242,31 +337,43 @@
             for host in hosts
             if host.state is service.HostState.LEAVING
         )
+        # A host that is not listed may be new; one that was and is no
+        # longer has been removed.
+        listed = frozenset(host.name for host in hosts)
+        self._removed_hosts = (
+            self._removed_hosts | self._listed_hosts
+        ) - listed
+        self._listed_hosts = listed
 
     def _answer_gateway(
         self, sender: channel.Remote, report: protocol.GatewayReport
     ) -> None:
-        self._gateways.note_report(sender, report, self._time.now_ms())
+        now_ms = self._time.now_ms()
+        self._gateways.note_report(sender, report, now_ms)
+        self._evidence.extend(report.evidence)
         self._offer_document(sender, report.record.document_version)
+        self._answers.expire(now_ms)
         self._send(
             sender,
             protocol.ServerStates(
                 asked_at_ms=report.asked_at_ms,
-                valid_for_ms=self._settings.ejection_validity_ms,
-                states=self._states(),
+                valid_for_ms=self._answers.valid_for_ms(now_ms),
+                states=self._states(now_ms),
             ),
         )
 
-    def _states(self) -> tuple[protocol.ServerState, ...]:
-        leaving = self._own_draining().union(
-            *(
-                record.draining_servers
-                for record in self._members.live(self._time.now_ms())
-            )
-        )
-        return tuple(
-            protocol.ServerState(server, False, True, 1.0)
-            for server in sorted(leaving)
+    def _states(self, now_ms: int) -> tuple[protocol.ServerState, ...]:
+        leaving = self._leaving_servers(now_ms)
+        capacities = {
+            item.name: permits.Capacity.of(document, item.name, leaving)
+            for document in self._adoption.documents
+            for item in document.services
+        }
+        return views.server_states(self._answers, capacities, leaving)
+
+    def _leaving_servers(self, now_ms: int) -> frozenset[str]:
+        return self._own_draining().union(
+            *(record.draining_servers for record in self._members.live(now_ms))
         )
 
     def _offer_document(self, to: channel.Remote, known_version: int) -> None:
@@ -292,7 +399,7 @@
             host=self._own_record(),
             peers=self._members.live(now_ms),
             cut_peers=self._members.cut_peers(now_ms),
-            states=self._states(),
+            states=self._states(now_ms),
             counters=dict(self._counters),
         )
 
--- a/src/cardamomdeal/agent/main.py
+++ b/src/cardamomdeal/agent/main.py
@@ -6,11 +6,14 @@
 import pykka
 
 from cardamomdeal.agent import core
+from cardamomdeal.agent import judge
 from cardamomdeal.agent import messages
+from cardamomdeal.agent import permit_keeper
 from cardamomdeal.agent import store_reader
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import process
 from cardamomdeal.platform import client
+from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import load
 from cardamomdeal.settings import model
 from cardamomdeal.telemetry import logs
@@ -32,7 +35,17 @@
     stop = process.stop_event()
     time = clock.Clock()
     try:
-        core_ref = core.Core.start(settings, time)
+        incarnation = protocol.Incarnation(settings.name, time.wall_ms())
+        core_ref = core.Core.start(settings, incarnation, time)
+        judge_ref = judge.Judge.start(settings, incarnation, core_ref, time)
+        keeper_ref = permit_keeper.PermitKeeper.start(
+            settings.environment,
+            incarnation,
+            judge_ref,
+            client.HttpPlatform(settings.platform, STORE_TIMEOUT_MS),
+        )
+        judge_ref.tell(messages.KeeperStarted(keeper_ref))
+        core_ref.tell(messages.JudgeStarted(judge_ref))
         reader_ref = store_reader.StoreReader.start(
             settings,
             core_ref,
--- a/src/cardamomdeal/configuration/adoption.py
+++ b/src/cardamomdeal/configuration/adoption.py
@@ -59,10 +59,20 @@
         """Return whether this host may serve on what it adopted."""
         return self._confirmed and self.in_force is not None
 
+    @property
+    def documents(self) -> tuple[model.Document, ...]:
+        """Return the adopted document, if there is one."""
+        return (self.in_force.document,) if self.in_force else ()
+
+    @property
+    def services(self) -> tuple[model.Service, ...]:
+        """Return the services of the adopted document."""
+        return tuple(s for d in self.documents for s in d.services)
+
     @property
     def backend_servers(self) -> tuple[model.BackendServer, ...]:
         """Return the backend servers of the adopted document."""
-        return self.in_force.document.backend_servers if self.in_force else ()
+        return tuple(s for d in self.documents for s in d.backend_servers)
 
     def offer(self, head: messages.Head, canonical: bytes) -> Decision:
         """Adopt an offer if it is newer and within the rules."""
--- a/src/cardamomdeal/gateway/evidence.py
+++ b/src/cardamomdeal/gateway/evidence.py
@@ -6,15 +6,21 @@
 from cardamomdeal.routing import outcomes
 
 SERVER_ERROR_STATUS = 500
+LATENCY_BUCKETS = 20
 
 
 @dataclasses.dataclass(slots=True)
 class _Counts:
     successes: int = 0
     failures: int = 0
-    connect_failures: int = 0
     refusals: int = 0
-    latency_sum_ms: int = 0
+    latencies: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * LATENCY_BUCKETS
+    )
+
+    def add_latency(self, latency_ms: int) -> None:
+        bucket = min(latency_ms.bit_length(), LATENCY_BUCKETS - 1)
+        self.latencies[bucket] += 1
 
 
 class EvidenceCounter:
@@ -30,7 +36,7 @@
         counts = self._counts.setdefault((server, kind), _Counts())
         match result:
             case outcomes.Completed(status, latency_ms, _):
-                counts.latency_sum_ms += latency_ms
+                counts.add_latency(latency_ms)
                 if status >= SERVER_ERROR_STATUS:
                     counts.failures += 1
                 else:
@@ -39,10 +45,10 @@
                 # A connection that went silent while idle shows a fault of
                 # the path; only a new connection tells of the server.
                 if not reused:
-                    counts.latency_sum_ms += latency_ms
+                    counts.add_latency(latency_ms)
                     counts.failures += 1
             case outcomes.NotConnected():
-                counts.connect_failures += 1
+                counts.failures += 1
             case outcomes.RefusedByServer():
                 counts.refusals += 1
             case outcomes.CallerLeft():
@@ -56,9 +62,8 @@
                 work_kind=kind,
                 successes=counts.successes,
                 failures=counts.failures,
-                connect_failures=counts.connect_failures,
                 refusals=counts.refusals,
-                latency_sum_ms=counts.latency_sum_ms,
+                latencies=tuple(counts.latencies),
             )
             for (server, kind), counts in self._counts.items()
         )
--- a/src/cardamomdeal/internal/serving.py
+++ b/src/cardamomdeal/internal/serving.py
@@ -7,7 +7,6 @@
 
 from cardamomdeal.internal import errors
 
-
 log = logging.getLogger(__name__)
 
 
--- a/src/cardamomdeal/membership/members.py
+++ b/src/cardamomdeal/membership/members.py
@@ -87,10 +87,19 @@
             and now_ms - member.advanced_at_ms <= self._timeout_ms
         )
 
-    def incarnation(self, name: str) -> messages.Incarnation | None:
-        """Return the latest known life of an agent."""
-        member = self._members.get(name)
-        return member.record.agent if member else None
+    def incarnations(self) -> dict[str, messages.Incarnation]:
+        """Return the latest known life of each agent."""
+        return {
+            name: member.record.agent for name, member in self._members.items()
+        }
+
+    def agents_on(self, hosts: frozenset[str]) -> frozenset[str]:
+        """Return the agents that run on some hosts."""
+        return frozenset(
+            name
+            for name, member in self._members.items()
+            if member.record.host in hosts
+        )
 
     def gossip_targets(
         self, count: int, now_ms: int, randomness: random.Random
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -50,15 +50,17 @@
 
 
 class ServerEvidence(msgspec.Struct, frozen=True):
-    """Count what one interval of real work showed of a backend server."""
+    """Count what one interval of real work showed of a backend server.
+
+    `latencies` counts answers by the binary logarithm of their milliseconds.
+    """
 
     server: str
     work_kind: str
     successes: int
     failures: int
-    connect_failures: int
     refusals: int
-    latency_sum_ms: int
+    latencies: tuple[int, ...]
 
 
 class LatencyHistogram(msgspec.Struct, frozen=True):
@@ -148,7 +150,7 @@
 class EvidenceReport(Message, frozen=True):
     """Report evidence on a service and ask its judge for ejections."""
 
-    agent: Incarnation
+    reporter: str
     data_centre: str
     service: str
     asked_at_ms: int
@@ -158,12 +160,11 @@
 class HeldEjections(Message, frozen=True):
     """Answer with the ejections that the judge holds permits for."""
 
-    judge: Incarnation
+    judge: str
     service: str
     asked_at_ms: int
-    servers: tuple[str, ...]
-    suspects: tuple[str, ...]
-    returning: tuple[tuple[str, float], ...]
+    ejected: tuple[str, ...]
+    weights: dict[str, float]
 
 
 class StatusRequest(Message, frozen=True):
--- a/src/cardamomdeal/settings/load.py
+++ b/src/cardamomdeal/settings/load.py
@@ -50,6 +50,7 @@
         store_readers=checked.store_readers,
         peer_timeout_ms=checked.peer_timeout_ms,
         watch_ms=checked.watch_ms,
+        judge_interval_ms=checked.judge_interval_ms,
         ejection_validity_ms=checked.ejection_validity_ms,
     )
 
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -57,6 +57,7 @@
     store_readers: int
     peer_timeout_ms: int
     watch_ms: int
+    judge_interval_ms: int
     ejection_validity_ms: int
 
 
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -65,6 +65,7 @@
     store_readers: Positive = 3
     peer_timeout_ms: Positive = 5_000
     watch_ms: Positive = 2_000
+    judge_interval_ms: Positive = 1_000
     ejection_validity_ms: Positive = 3_000
 
 
