--- a/src/cardamomdeal/health/cases.py
+++ b/src/cardamomdeal/health/cases.py
@@ -151,8 +151,8 @@
         self._move(situation)
         self._return_below_floor(situation)
         return [
-            *self._asks(situation),
             *self._drops(situation),
+            *self._asks(situation),
             *self._reads(situation),
         ]
 
