Count only peers that answered us before a joining host serves

Cause: a host that joined with the store down and one stale peer served after 4 s. Its peer had been paused and passed on records of a third host that had waited in its buffers; they advanced, so they counted as live, and with old versions in them the fleet could have gone back to an old document. Gossip now carries when it was asked, the reply echoes it, and only versions from replies to our own questions count towards the majority. Before: the test got 200, expected 503 not-run. After: passes, and the host serves once the third host answers.

Also: a change refused because the store is away now says that no change was made (test red before: it said only 'status 503').

--- a/src/cardamomdeal/admin/changes.py
+++ b/src/cardamomdeal/admin/changes.py
@@ -60,15 +60,16 @@
                 )
             case Success(_):
                 return Success(Stored(records.EMPTY, service.ABSENT_REVISION))
-            case failed:
-                return failed
+            case Failure(error):
+                return Failure(_unavailable(error))
 
     def read_document(
         self, digest: str
     ) -> Result[str | None, base_errors.CardamomdealError]:
         """Read a document by its digest."""
-        return self._platform.get(records.document_key(digest)).map(
-            lambda found: found.value if found else None
+        read = self._platform.get(records.document_key(digest))
+        return read.map(lambda found: found.value if found else None).alt(
+            _unavailable
         )
 
     def write_document(
@@ -85,7 +86,7 @@
                 # A conflict means that the same bytes are there already.
                 return Success(None)
             case Failure(error):
-                return Failure(errors.StoreUnavailable(str(error)))
+                return Failure(_unavailable(error))
 
     def apply(
         self, change: Change
@@ -109,9 +110,7 @@
                     f'{change.change_id} again to learn the outcome'
                 )
             )
-        return Failure(
-            errors.StoreUnavailable('the store is away; nothing was written')
-        )
+        return Failure(_unavailable('no answer in time'))
 
     def _attempt(
         self, change: Change
@@ -120,7 +119,7 @@
             case Success(stored):
                 pass
             case Failure(error):
-                return Failure(errors.StoreUnavailable(str(error)))
+                return Failure(_unavailable(error))
         # Found by its id: an earlier write took effect, its answer lost.
         accepted = stored.record.find(change.change_id)
         if accepted is not None:
@@ -154,6 +153,12 @@
                 return Failure(errors.ChangeUnknown(str(error)))
 
 
+def _unavailable(reason: object) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(
+        f'the store is away ({reason}); no change was made'
+    )
+
+
 def _same_change(
     accepted: records.Change, change: Change
 ) -> Result[records.Change, errors.AdminError]:
--- a/src/cardamomdeal/agent/core.py
+++ b/src/cardamomdeal/agent/core.py
@@ -113,7 +113,7 @@
             case protocol.Gossip():
                 self._answer_gossip(sender, received)
             case protocol.GossipReply():
-                self._members.note_reply(received.sender)
+                self._members.note_reply(received)
                 self._take_records((received.sender, *received.others), sender)
             case protocol.DocumentRequest(known_version):
                 self._offer_document(sender, known_version)
@@ -147,7 +147,7 @@
         self._gateways.forget_silent(now_ms)
         self._members.forget_silent(now_ms)
         self._adoption.confirm_from_peers(
-            self._members.advancing_versions(now_ms),
+            self._members.answered_versions(now_ms),
             self._members.known_count(),
         )
         self._choose_store_readers(now_ms)
@@ -248,6 +248,7 @@
             self._send(
                 channel.Peer(target),
                 protocol.Gossip(
+                    now_ms,
                     self._own_record(),
                     self._members.gossip_records(now_ms, self._random),
                 ),
@@ -260,6 +261,7 @@
         self._send(
             sender,
             protocol.GossipReply(
+                gossip.asked_at_ms,
                 self._own_record(),
                 self._members.gossip_records(
                     self._time.now_ms(), self._random
--- a/src/cardamomdeal/configuration/adoption.py
+++ b/src/cardamomdeal/configuration/adoption.py
@@ -91,12 +91,12 @@
             self._confirmed = True
 
     def confirm_from_peers(
-        self, live_versions: tuple[int, ...], known_peers: int
+        self, answered_versions: tuple[int, ...], known_peers: int
     ) -> None:
-        """Note the versions of the live peers among those known."""
+        """Note the versions that some of the known peers answered."""
         # One stale peer must not bring back an old configuration on a host
         # that joins while the store is down; a majority cannot be stale
         # once a change has had its few seconds to spread.
-        majority = len(live_versions) > known_peers / 2
-        if majority and max(live_versions) <= self.version:
+        majority = len(answered_versions) > known_peers / 2
+        if majority and max(answered_versions) <= self.version:
             self._confirmed = True
--- a/src/cardamomdeal/health/evidence.py
+++ b/src/cardamomdeal/health/evidence.py
@@ -6,7 +6,7 @@
 
 BUCKET_MS = 1_000
 LATENCY_BUCKETS = 20
-SPANS_MS = (10_000, 60_000)
+SPANS_MS = (3_000, 10_000, 60_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/membership/members.py
+++ b/src/cardamomdeal/membership/members.py
@@ -10,6 +10,8 @@
 GOSSIPED_RECORDS = 8
 FORGET_AFTER_MS = 3_600_000
 SENT_WITHOUT_REPLY = 3
+# Long enough for a host that joins to have asked most of the others.
+ANSWERS_COUNT_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,12 +20,14 @@
 
     record: messages.HostRecord
     advanced_at_ms: int
-    seen_advancing: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class _Path:
     unanswered: int = 0
+    # What the peer itself last said, and when it was asked.
+    version: int = 0
+    asked_at_ms: int | None = None
 
 
 class Members:
@@ -54,7 +58,6 @@
             return False
         known.record = record
         known.advanced_at_ms = now_ms
-        known.seen_advancing = True
         return True
 
     def forget_silent(self, now_ms: int) -> None:
@@ -76,15 +79,15 @@
         known = {member.record.address for member in self._members.values()}
         return len(known | {str(seed) for seed in self._seeds})
 
-    def advancing_versions(self, now_ms: int) -> tuple[int, ...]:
-        """Return the versions of hosts that advanced while we watched."""
-        # A record that was relayed once may be old; one that advances
-        # comes from a host that is up now.
+    def answered_versions(self, now_ms: int) -> tuple[int, ...]:
+        """Return the versions that peers themselves lately answered."""
+        # A record that another host passes on may have waited in a buffer
+        # for long; the answer to our own question cannot be older than it.
         return tuple(
-            member.record.head.version if member.record.head else 0
-            for member in self._members.values()
-            if member.seen_advancing
-            and now_ms - member.advanced_at_ms <= self._timeout_ms
+            path.version
+            for path in self._paths.values()
+            if path.asked_at_ms is not None
+            and now_ms - path.asked_at_ms <= ANSWERS_COUNT_MS
         )
 
     def incarnations(self) -> dict[str, messages.Incarnation]:
@@ -128,9 +131,12 @@
         """Note that gossip went to a peer."""
         self._paths.setdefault(str(target), _Path()).unanswered += 1
 
-    def note_reply(self, record: messages.HostRecord) -> None:
+    def note_reply(self, reply: messages.GossipReply) -> None:
         """Note that a peer answered our gossip."""
-        self._paths.setdefault(record.address, _Path()).unanswered = 0
+        path = self._paths.setdefault(reply.sender.address, _Path())
+        path.unanswered = 0
+        path.asked_at_ms = reply.asked_at_ms
+        path.version = reply.sender.head.version if reply.sender.head else 0
 
     def cut_peers(self, now_ms: int) -> tuple[str, ...]:
         """Return live hosts that do not answer us directly."""
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -136,6 +136,7 @@
 class Gossip(Message, frozen=True):
     """Tell a peer about this host and a few others."""
 
+    asked_at_ms: int
     sender: HostRecord
     others: tuple[HostRecord, ...]
 
@@ -143,6 +144,7 @@
 class GossipReply(Message, frozen=True):
     """Answer gossip, so that the sender knows the path works."""
 
+    asked_at_ms: int
     sender: HostRecord
     others: tuple[HostRecord, ...]
 
