--- /dev/null
+++ b/tests/contract/test_codec.py
@@ -0,0 +1,62 @@
+"""Inner messages survive the codec; damaged ones are named and dropped."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+from returns.pipeline import is_successful
+
+from cardamomdeal.protocol import codec
+from cardamomdeal.protocol import errors
+from cardamomdeal.protocol import messages
+
+OFFER = messages.DocumentOffer(messages.Head(3, 'digest', 'change'), b'{}')
+REPORT = messages.EvidenceReport(
+    reporter='entry-1',
+    data_centre='a',
+    service='lager',
+    asked_at_ms=5,
+    evidence=(messages.ServerEvidence('s', 'k', 1, 2, 3, (0, 1)),),
+)
+
+
+class CodecTest(unittest.TestCase):
+    def test_messages_come_back_as_they_were(self) -> None:
+        for message in (OFFER, REPORT, messages.StopGateway()):
+            with self.subTest(message=message):
+                decoded = codec.decode(codec.encode(message)).unwrap()
+                self.assertEqual(message, decoded)
+
+    def test_another_version_is_refused(self) -> None:
+        data = msgspec.msgpack.encode([2, {'type': 'StopGateway'}])
+        failure = codec.decode(data).failure()
+        self.assertIsInstance(failure, errors.MessageDamaged)
+        self.assertIn('version 2', str(failure))
+
+    def test_a_message_over_the_bound_is_refused_on_both_sides(self) -> None:
+        large = messages.DocumentOffer(
+            OFFER.head, b'x' * codec.MAX_MESSAGE_BYTES
+        )
+        with self.assertRaises(errors.MessageTooLarge):
+            codec.encode(large)
+        failure = codec.decode(b'x' * (codec.MAX_MESSAGE_BYTES + 1)).failure()
+        self.assertIsInstance(failure, errors.MessageTooLarge)
+
+    @settings(max_examples=500, derandomize=True, database=None)
+    @given(strategies.binary(max_size=200))
+    def test_any_bytes_are_refused_without_an_exception(
+        self, data: bytes
+    ) -> None:
+        self.assertFalse(is_successful(codec.decode(data)))
+
+    @settings(max_examples=500, derandomize=True, database=None)
+    @given(strategies.data())
+    def test_a_changed_byte_is_refused_or_still_a_message(
+        self, data: strategies.DataObject
+    ) -> None:
+        whole = bytearray(codec.encode(REPORT))
+        index = data.draw(strategies.integers(0, len(whole) - 1))
+        whole[index] ^= data.draw(strategies.integers(1, 255))
+        codec.decode(bytes(whole))
--- /dev/null
+++ b/tests/unit/test_routing.py
@@ -0,0 +1,172 @@
+"""Routing decisions: routes, selection, limits and retries."""
+
+import collections
+import random
+import unittest
+
+from cardamomdeal.backend import answers
+from cardamomdeal.document import model
+from cardamomdeal.routing import limits
+from cardamomdeal.routing import outcomes
+from cardamomdeal.routing import retries
+from cardamomdeal.routing import selection
+from cardamomdeal.routing import servers
+from cardamomdeal.routing import table
+from devel import fleet
+from tests import support
+
+SHORT = model.ShortWork(1_000)
+UPLOAD = model.UploadWork(1_000, 60_000)
+SIGNALS = answers.Signals(None, False, None)
+SEED = 20261204
+
+
+def naive_find(kinds, method: str, path: str) -> str | None:
+    """Find a kind of work by trying every prefix."""
+    best = None
+    for kind in kinds:
+        prefix = kind.path_prefix.rstrip('/')
+        inside = path.rstrip('/') == prefix or path.startswith(prefix + '/')
+        longer = best is None or len(prefix) > len(
+            best.path_prefix.rstrip('/')
+        )
+        if method in kind.methods and inside and longer:
+            best = kind
+    return best.name if best else None
+
+
+class RouteTableTest(unittest.TestCase):
+    def test_it_finds_what_a_naive_search_finds(self) -> None:
+        rng = random.Random(SEED)
+        words = ('a', 'b', 'ab')
+        prefixes = sorted(
+            {
+                '/' + '/'.join(rng.choices(words, k=rng.randrange(4)))
+                for _ in range(40)
+            }
+        )
+        kinds = tuple(
+            model.WorkKind(
+                name=prefix,
+                service='s',
+                methods=frozenset(rng.sample(['GET', 'PUT'], 1)),
+                path_prefix=prefix,
+                idempotent=True,
+                work_class=SHORT,
+                max_body_bytes=0,
+            )
+            for prefix in prefixes
+        )
+        routes = table.RouteTable(kinds)
+        for _ in range(2_000):
+            path = '/' + '/'.join(rng.choices(words, k=rng.randrange(6)))
+            method = rng.choice(['GET', 'PUT'])
+            found = routes.find(method, path)
+            name = found.kind.name if isinstance(found, table.Found) else None
+            self.assertEqual(naive_find(kinds, method, path), name, path)
+
+
+class SelectionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        document = fleet.check_model(support.small_document(4))
+        self.views = [
+            servers.ServerView(server) for server in document.backend_servers
+        ]
+        self.rng = random.Random(SEED)
+
+    def choose(self, standings=None, excluded=(), work_class=SHORT):
+        return selection.choose_server(
+            self.views,
+            standings or {},
+            selection.Wanted(
+                work_class, 'nordur-a', frozenset(excluded), True
+            ),
+            10_000,
+            self.rng,
+        )
+
+    def shares(self, standings=None) -> dict[str, float]:
+        counts = collections.Counter(
+            self.choose(standings).server.name for _ in range(2_000)
+        )
+        return {name: count / 2_000 for name, count in counts.items()}
+
+    def test_work_is_spread_evenly(self) -> None:
+        for share in self.shares().values():
+            self.assertAlmostEqual(0.25, share, delta=0.05)
+
+    def test_servers_that_may_not_be_used_get_nothing(self) -> None:
+        self.views[1].draining_until_ms = 20_000
+        self.views[2].unreachable_until_ms = 20_000
+        standings = {'pantanir-4': servers.Standing(ejected=True)}
+        self.assertEqual({'pantanir-1': 1.0}, self.shares(standings))
+        self.assertIsNone(self.choose(standings, ['pantanir-1']))
+
+    def test_a_suspect_server_gets_a_small_share(self) -> None:
+        standings = {'pantanir-2': servers.Standing(weight=0.05)}
+        self.assertLess(self.shares(standings)['pantanir-2'], 0.05)
+
+    def test_full_servers_are_spared_and_uploads_leave_a_slot(self) -> None:
+        for view in self.views:
+            view.in_flight = 2
+        self.assertIsNotNone(self.choose())
+        self.assertIsNone(self.choose(work_class=UPLOAD))
+        for view in self.views:
+            view.in_flight = 3
+        self.assertIsNone(self.choose())
+
+    def test_other_data_centres_help_once_the_local_one_is_full(
+        self,
+    ) -> None:
+        far = self.views[3]
+        far.server = model.BackendServer(
+            'far', 's', 'nordur-b', far.server.address, 3, 100
+        )
+        self.assertNotIn('far', self.shares())
+        for view in self.views[:3]:
+            view.in_flight = 3
+        self.assertEqual({'far': 1.0}, self.shares())
+
+    def test_work_of_other_gateways_counts_for_a_moment(self) -> None:
+        view = self.views[0]
+        view.in_flight = 1
+        view.note_signals(
+            answers.Signals(answers.Load(3, 3), False, None), 10_000
+        )
+        self.assertFalse(limits.has_room(view, SHORT, True, 10_500))
+        self.assertTrue(limits.has_room(view, SHORT, True, 12_000))
+
+
+class RetriesTest(unittest.TestCase):
+    def test_what_may_be_sent_again(self) -> None:
+        refused = outcomes.RefusedByServer(answers.Refusal.SHED, SIGNALS)
+        cases = (
+            # result, idempotent, replayable, attempts, left_ms, expected
+            (outcomes.NotConnected(), False, False, 1, 100, True),
+            (outcomes.NotConnected(), True, True, 3, 100, False),
+            (outcomes.NotConnected(), True, True, 1, 0, False),
+            (refused, False, True, 1, 100, False),
+            (refused, True, True, 1, 100, True),
+            (refused, True, False, 1, 100, False),
+            (outcomes.Broken(5, 'reset', False), False, True, 1, 100, False),
+            (outcomes.Broken(5, 'reset', True), False, True, 1, 100, False),
+            (outcomes.Broken(5, 'reset', False), True, True, 1, 100, True),
+            (outcomes.Completed(500, 5, SIGNALS), True, True, 1, 100, False),
+            (outcomes.CallerLeft(), True, True, 1, 100, False),
+        )
+        for result, idempotent, replayable, attempts, left, expected in cases:
+            with self.subTest(result=result, idempotent=idempotent):
+                attempted = retries.Attempted(
+                    idempotent, replayable, attempts, left
+                )
+                self.assertEqual(
+                    expected, retries.may_retry(attempted, result)
+                )
+
+    def test_retries_stay_a_tenth_of_the_requests(self) -> None:
+        budget = retries.RetryBudget()
+        taken = 0
+        for _ in range(10_000):
+            budget.add_request()
+            taken += budget.take()
+        self.assertLessEqual(taken, 1_010)
