--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on loopback stand-ins."""
--- /dev/null
+++ b/bench/subjects.py
@@ -0,0 +1,74 @@
+"""What is measured: the fleet, the naive proxy, and no proxy at all."""
+
+import dataclasses
+import json
+import os
+import pathlib
+from typing import Any
+
+from devel import fleet
+
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold what some processes have used so far."""
+
+    cpu_s: float
+    memory_kib: int
+
+
+def usage(pids: list[int]) -> Usage:
+    """Return the processor time and the resident memory of processes."""
+    cpu_s = 0.0
+    memory_kib = 0
+    for pid in pids:
+        stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        cpu_s += (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+        status = pathlib.Path(f'/proc/{pid}/status').read_text()
+        for line in status.splitlines():
+            if line.startswith('VmRSS:'):
+                memory_kib += int(line.split()[1])
+    return Usage(cpu_s, memory_kib)
+
+
+def start_fleet(
+    document: dict[str, Any], options: fleet.FleetOptions
+) -> fleet.Fleet:
+    """Start a fleet and wait until its directories answer."""
+    running = fleet.Fleet(document, options)
+    running.start()
+    running.put_in_force(document)
+    for host in running.hosts_of('production'):
+        for kind in document['work_kinds']:
+            running.wait_until(
+                lambda h=host, k=kind: running.directory_answers(h, k['name']),
+                'the directories',
+            )
+    return running
+
+
+def start_naive(running: fleet.Fleet, count: int) -> list[str]:
+    """Start naive proxies before a fleet's backend servers."""
+    path = running.write_document(running.document, 'naive.json')
+    addresses = []
+    for number in range(count):
+        listen = fleet.free_address()
+        running.run_module(
+            f'naive-{number}', 'devel.naive_proxy', [listen, path]
+        )
+        running.wait_until(
+            lambda at=listen: fleet.listens(at), 'the naive proxy'
+        )
+        addresses.append(listen)
+    return addresses
+
+
+def read_status(running: fleet.Fleet) -> dict[str, Any]:
+    """Return the status of the production environment."""
+    answer = running.http.request(
+        'GET', f'http://{running.admin}/environments/production/status'
+    )
+    return json.loads(answer.data)
--- a/src/cardamomdeal/agent/core.py
+++ b/src/cardamomdeal/agent/core.py
@@ -1,6 +1,7 @@
 """Actor that holds what an agent knows and answers for it."""
 
 import collections
+import dataclasses
 import logging
 import random
 from typing import Any
@@ -87,6 +88,8 @@
             case channel.Dropped(reason):
                 self._count('messages_dropped')
                 log.warning('message dropped', extra={'reason': reason})
+            case channel.Traffic() as traffic:
+                self._counters |= dataclasses.asdict(traffic)
             case messages.StoreRead(record, canonical):
                 self._take_store_read(record, canonical)
             case messages.HostsListed(hosts):
--- a/src/cardamomdeal/channels/messages.py
+++ b/src/cardamomdeal/channels/messages.py
@@ -58,4 +58,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Traffic:
+    """Tell the owner how much went through the sockets so far."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+
+
 Command = Send | Forget | Stop
--- a/src/cardamomdeal/channels/task.py
+++ b/src/cardamomdeal/channels/task.py
@@ -1,6 +1,7 @@
 """Task that owns the pyzmq sockets of one process."""
 
 import contextlib
+import dataclasses
 import os
 import queue
 import threading
@@ -23,6 +24,7 @@
 HEARTBEAT_TIMEOUT_MS = 3000
 HANDSHAKE_TIMEOUT_MS = 2000
 RECONNECT_MAX_MS = 1000
+TRAFFIC_INTERVAL_MS = 1000
 
 
 class ChannelTask(threading.Thread):
@@ -49,6 +51,8 @@
         self._senders: dict[zmq.Socket[bytes], messages.Peer] = {}
         self._outboxes: dict[messages.Peer, outbox.Outbox] = {}
         self._time = clock.Clock()
+        self._traffic = messages.Traffic()
+        self._told_at_ms = 0
         self._listener = self._listen(listen) if listen else None
 
     def command(self, command: messages.Command) -> bool:
@@ -73,11 +77,32 @@
                 if isinstance(source, zmq.Socket) and not source.closed:
                     self._serve(source, events)
             self._expire_waiting()
+            self._tell_traffic()
         self._close()
 
     def _poll_timeout_ms(self) -> int | None:
         return outbox.WAIT_MS if self._outboxes else None
 
+    def _tell_traffic(self) -> None:
+        now_ms = self._time.now_ms()
+        if now_ms - self._told_at_ms >= TRAFFIC_INTERVAL_MS:
+            self._told_at_ms = now_ms
+            self._tell(self._traffic)
+
+    def _count_sent(self, data: bytes) -> None:
+        self._traffic = dataclasses.replace(
+            self._traffic,
+            sent_messages=self._traffic.sent_messages + 1,
+            sent_bytes=self._traffic.sent_bytes + len(data),
+        )
+
+    def _count_received(self, data: bytes) -> None:
+        self._traffic = dataclasses.replace(
+            self._traffic,
+            received_messages=self._traffic.received_messages + 1,
+            received_bytes=self._traffic.received_bytes + len(data),
+        )
+
     def _serve(self, source: zmq.Socket[bytes], events: int) -> None:
         if events & zmq.POLLIN:
             self._receive(source)
@@ -134,6 +159,7 @@
                         self._listener.send_multipart(
                             [identity, data], zmq.NOBLOCK
                         )
+                        self._count_sent(data)
                 case messages.Peer() as peer:
                     self._send_to_peer(peer, data)
         except zmq.Again:
@@ -149,6 +175,7 @@
                 self._outboxes[peer] = outbox.Outbox()
                 self._poller.modify(connected, zmq.POLLIN | zmq.POLLOUT)
             else:
+                self._count_sent(data)
                 return
         if not self._outboxes[peer].put(data, self._time.now_ms()):
             self._tell(messages.Dropped(f'{peer.address}: no connection'))
@@ -163,6 +190,7 @@
             except zmq.Again:
                 return
             waiting.remove_first()
+            self._count_sent(data)
         self._close_outbox(peer)
 
     def _expire_waiting(self) -> None:
@@ -206,13 +234,16 @@
             sender: messages.Remote = messages.Caller(frames[0])
         else:
             sender = self._senders[source]
+        self._count_received(frames[-1])
         match codec.decode(frames[-1]):
             case Success(message):
                 self._tell(messages.Received(sender, message))
             case Failure(error):
                 self._tell(messages.Dropped(str(error)))
 
-    def _tell(self, event: messages.Received | messages.Dropped) -> None:
+    def _tell(
+        self, event: messages.Received | messages.Dropped | messages.Traffic
+    ) -> None:
         # The owner stops before its channel does.
         with contextlib.suppress(pykka.ActorDeadError):
             self._owner.tell(event)
