Retry on a new connection when an idle one had gone silent

Cause: a lookup on an idle connection that had gone silent failed with 502 when no other server was left: the server counted as tried, although only the connection was at fault. The server is tried again on a new connection; its other idle connections are closed already. Ruled out: not reusing connections for lookups (about 1 ms each).

--- a/devel/backend_standin.py
+++ b/devel/backend_standin.py
@@ -77,6 +77,11 @@
     changed: dict[str, Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetReceived:
+    """Ask how many requests came."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GetCounts:
     """Ask how often each request was run."""
@@ -106,6 +111,8 @@
                 self._behaviour = dataclasses.replace(
                     self._behaviour, **changed
                 )
+            case GetReceived():
+                return {'received': self._received}
             case GetCounts():
                 return {
                     'received': self._received,
@@ -172,6 +179,8 @@
             case '/-/behaviour':
                 self.worker.ask(Change(json.loads(self._read_body()[2])))
                 self._send_json({})
+            case '/-/received':
+                self._send_json(self.worker.ask(GetReceived()))
             case '/-/counts':
                 self._send_json(self.worker.ask(GetCounts()))
             case _:
--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -191,13 +191,20 @@
         )
         if not retries.may_retry(attempted, retry.result):
             return messages.NoRetry()
-        view = self._choose(request.kind, request.tried)
+        tried = request.tried
+        match retry.result:
+            case outcomes.Broken(connection_reused=True):
+                # The connection had gone silent; a new one may do.
+                tried -= {request.view.server.name}
+            case _:
+                pass
+        view = self._choose(request.kind, tried)
         if view is None or not self._budget(request.kind.service).take():
             return messages.NoRetry()
         self._take_in(request, retry.result)
         self._count_in_flight(request, -1)
         request.view = view
-        request.tried |= {view.server.name}
+        request.tried = tried | {view.server.name}
         request.attempts += 1
         return self._assign(retry.ticket, request)
 
--- /dev/null
+++ b/tests/unit/test_members.py
@@ -0,0 +1,105 @@
+"""Members are live while their records advance."""
+
+import random
+import unittest
+
+from cardamomdeal.internal import address
+from cardamomdeal.membership import members
+from cardamomdeal.membership import rendezvous
+from cardamomdeal.protocol import messages
+
+TIMEOUT_MS = 5_000
+
+
+def record(
+    name: str, sequence: int, started_ms: int = 0, version: int = 1
+) -> messages.HostRecord:
+    return messages.HostRecord(
+        agent=messages.Incarnation(name, started_ms),
+        sequence=sequence,
+        host=name,
+        data_centre='a',
+        address=f'192.0.2.{name.removeprefix("entry-")}:7000',
+        head=messages.Head(version, 'digest', 'change'),
+        ready=True,
+        gateways=(),
+        draining_servers=(),
+    )
+
+
+class MembersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        seeds = (address.parse_address('192.0.2.2:7000'),)
+        self.members = members.Members('entry-1', seeds, TIMEOUT_MS)
+        self.rng = random.Random(20261204)
+
+    def live(self, now_ms: int) -> list[str]:
+        return sorted(r.host for r in self.members.live(now_ms))
+
+    def test_only_newer_records_keep_a_host_live(self) -> None:
+        self.members.update(record('entry-2', 5), 0)
+        for sequence in (5, 4, 3):
+            self.members.update(record('entry-2', sequence), 4_000)
+        self.assertEqual(['entry-2'], self.live(5_000))
+        self.assertEqual([], self.live(5_001))
+        self.members.update(record('entry-2', 6), 6_000)
+        self.assertEqual(['entry-2'], self.live(11_000))
+
+    def test_a_new_incarnation_replaces_a_higher_sequence(self) -> None:
+        self.members.update(record('entry-2', 900), 0)
+        self.assertTrue(self.members.update(record('entry-2', 1, 50), 1))
+        self.assertFalse(self.members.update(record('entry-2', 901), 2))
+        latest = self.members.incarnations()['entry-2']
+        self.assertEqual(50, latest.started_ms)
+
+    def test_a_one_way_cut_shows_while_others_pass_the_record_on(
+        self,
+    ) -> None:
+        peer = address.parse_address('192.0.2.2:7000')
+        for sequence in range(5):
+            self.members.update(record('entry-2', sequence), sequence * 500)
+            self.members.note_sent(peer)
+        self.assertEqual(['entry-2'], self.live(2_000))
+        self.assertEqual(('entry-2',), self.members.cut_peers(2_000))
+        self.members.note_reply(
+            messages.GossipReply(2_000, record('entry-2', 9), ())
+        )
+        self.assertEqual((), self.members.cut_peers(2_000))
+
+    def test_only_answers_to_our_questions_tell_a_version(self) -> None:
+        for sequence in range(9):
+            self.members.update(record('entry-3', sequence), sequence)
+        self.assertEqual((), self.members.answered_versions(10))
+        reply = messages.GossipReply(20, record('entry-3', 10, version=7), ())
+        self.members.note_reply(reply)
+        self.assertEqual((7,), self.members.answered_versions(30))
+        self.assertEqual((), self.members.answered_versions(20_000))
+
+    def test_seeds_and_members_are_counted_once(self) -> None:
+        self.assertEqual(1, self.members.known_count())
+        self.members.update(record('entry-2', 1), 0)
+        self.members.update(record('entry-3', 1), 0)
+        self.assertEqual(2, self.members.known_count())
+
+    def test_silent_hosts_are_still_asked_now_and_then(self) -> None:
+        self.members.update(record('entry-3', 1), 0)
+        asked = {
+            str(target)
+            for _ in range(50)
+            for target in self.members.gossip_targets(2, 0, self.rng)
+        }
+        self.assertEqual({'192.0.2.2:7000', '192.0.2.3:7000'}, asked)
+
+
+class RendezvousTest(unittest.TestCase):
+    def test_a_duty_moves_only_when_its_holder_goes(self) -> None:
+        names = [f'entry-{number}' for number in range(48)]
+        for duty in (f'judge/{number}' for number in range(100)):
+            first, second, *_ = rendezvous.ranked(duty, names)
+            without_first = [name for name in names if name != first]
+            self.assertEqual(second, rendezvous.ranked(duty, without_first)[0])
+            without_other = [n for n in names if n != 'entry-7']
+            if first != 'entry-7':
+                self.assertEqual(
+                    first, rendezvous.ranked(duty, without_other)[0]
+                )
