Gossip heartbeats of all hosts, and records only when they change

A record changes rarely; only the heartbeat must travel all the time. Gossip now carries the sender's record and every live host's heartbeat (name, start, sequence, revision); whoever lacks a record of that revision asks for it. Nested messages are arrays instead of maps, the change id has left the head, and a gateway's load is rounded to quarters, since each change of a record travels. Ruled out: fewer records a message; at 48 hosts 12 in 100 would then not be refreshed within the 5 s after which a host counts as silent.

Found on the way: an exception in one message ended an agent's core while its process ran on, answering nobody (seen when a renamed method was missed). Actors now log the message that failed and go on, and a record whose address cannot be parsed is not taken, as it would have failed at every tick.

--- a/src/cardamomdeal/admin/fleet.py
+++ b/src/cardamomdeal/admin/fleet.py
@@ -8,6 +8,7 @@
 from cardamomdeal.admin import messages
 from cardamomdeal.channels import messages as channel
 from cardamomdeal.channels import task
+from cardamomdeal.internal import actor
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
 from cardamomdeal.protocol import messages as protocol
@@ -22,7 +23,7 @@
     expires_at_ms: int
 
 
-class Fleet(pykka.ThreadingActor):
+class Fleet(actor.Actor):
     """Own the channel to the agents and the questions under way."""
 
     def __init__(
@@ -42,7 +43,7 @@
         """Close the channel."""
         self._channel.command(channel.Stop())
 
-    def on_receive(self, message: Any) -> Any:
+    def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case messages.Announce(environment, offer):
--- a/src/cardamomdeal/admin/keeper.py
+++ b/src/cardamomdeal/admin/keeper.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-import pykka
 from returns.result import Result
 from returns.result import Success
 
@@ -10,16 +9,17 @@
 from cardamomdeal.admin import errors
 from cardamomdeal.admin import messages
 from cardamomdeal.configuration import records
+from cardamomdeal.internal import actor
 
 
-class Keeper(pykka.ThreadingActor):
+class Keeper(actor.Actor):
     """Carry out changes one after the other."""
 
     def __init__(self, writer: changes.Changes) -> None:
         super().__init__()
         self._writer = writer
 
-    def on_receive(self, message: Any) -> Any:
+    def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case messages.Submit():
--- a/src/cardamomdeal/admin/operations.py
+++ b/src/cardamomdeal/admin/operations.py
@@ -145,9 +145,7 @@
     def _submit(self, change: changes.Change, canonical: bytes) -> Outcome:
         match self._ask_keeper(messages.Submit(change, canonical)):
             case Success(records.Change() as accepted):
-                head = protocol.Head(
-                    accepted.version, accepted.digest, accepted.change_id
-                )
+                head = protocol.Head(accepted.version, accepted.digest)
                 # The fleet learns of it even if the store goes down now.
                 self._fleet.tell(
                     messages.Announce(
--- a/src/cardamomdeal/agent/core.py
+++ b/src/cardamomdeal/agent/core.py
@@ -16,6 +16,7 @@
 from cardamomdeal.configuration import adoption
 from cardamomdeal.health import permits
 from cardamomdeal.health import views
+from cardamomdeal.internal import actor
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import ticker
@@ -31,7 +32,7 @@
 log = logging.getLogger(__name__)
 
 
-class Core(pykka.ThreadingActor):
+class Core(actor.Actor):
     """Own the channel, the configuration and the members."""
 
     def __init__(
@@ -61,6 +62,7 @@
         self._counters: collections.Counter[str] = collections.Counter()
         self._metrics = metrics.Metrics('agent', settings.telemetry)
         self._store_reader: pykka.ActorRef[Any] | None = None
+        self._record = self._describe(0)
         self._channel = task.ChannelTask(self.actor_ref, settings.listen)
 
     def on_start(self) -> None:
@@ -78,7 +80,7 @@
         self._ticker.stop()
         self._channel.command(channel.Stop())
 
-    def on_receive(self, message: Any) -> Any:
+    def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case messages.Tick():
@@ -117,7 +119,13 @@
                 self._answer_gossip(sender, received)
             case protocol.GossipReply():
                 self._members.note_reply(received)
-                self._take_records((received.sender, *received.others), sender)
+                self._take_gossip(received, sender)
+            case protocol.RecordsRequest(agents):
+                records = self._members.records_of(agents)
+                self._send(sender, protocol.Records(records))
+            case protocol.Records(records):
+                for record in records:
+                    self._members.note_record(record)
             case protocol.DocumentRequest(known_version):
                 self._offer_document(sender, known_version)
             case protocol.DocumentOffer(head, document):
@@ -246,51 +254,61 @@
         targets = self._members.gossip_targets(
             self._settings.gossip_fanout, now_ms, self._random
         )
+        gossip = protocol.Gossip(
+            now_ms, self._own_record(), self._heartbeats(now_ms)
+        )
         for target in targets:
             self._members.note_sent(target)
-            self._send(
-                channel.Peer(target),
-                protocol.Gossip(
-                    now_ms,
-                    self._own_record(),
-                    self._members.gossip_records(now_ms, self._random),
-                ),
-            )
+            self._send(channel.Peer(target), gossip)
 
     def _answer_gossip(
         self, sender: channel.Remote, gossip: protocol.Gossip
     ) -> None:
-        self._take_records((gossip.sender, *gossip.others), sender)
+        self._take_gossip(gossip, sender)
         self._send(
             sender,
             protocol.GossipReply(
                 gossip.asked_at_ms,
                 self._own_record(),
-                self._members.gossip_records(
-                    self._time.now_ms(), self._random
-                ),
+                self._heartbeats(self._time.now_ms()),
             ),
         )
 
-    def _take_records(
+    def _take_gossip(
         self,
-        records: tuple[protocol.HostRecord, ...],
+        gossip: protocol.Gossip | protocol.GossipReply,
         sender: channel.Remote,
     ) -> None:
         now_ms = self._time.now_ms()
-        for record in records:
-            self._members.update(record, now_ms)
-        head = records[0].head
+        for heartbeat in gossip.heartbeats:
+            self._members.note_heartbeat(heartbeat, now_ms)
+        self._members.note_record(gossip.sender)
+        lacking = self._members.lacking_records(now_ms)
+        if lacking:
+            self._send(sender, protocol.RecordsRequest(lacking))
+        head = gossip.sender.head
         if head is not None and head.version > self._adoption.version:
             self._send(
                 sender, protocol.DocumentRequest(self._adoption.version)
             )
 
+    def _heartbeats(self, now_ms: int) -> tuple[protocol.Heartbeat, ...]:
+        own = protocol.Heartbeat(
+            self._incarnation, self._sequence, self._own_record().revision
+        )
+        return (own, *self._members.heartbeats(now_ms))
+
     def _own_record(self) -> protocol.HostRecord:
+        """Return this host's record, under a new revision if it changed."""
+        if self._describe(self._record.revision) != self._record:
+            self._record = self._describe(self._record.revision + 1)
+        return self._record
+
+    def _describe(self, revision: int) -> protocol.HostRecord:
         in_force = self._adoption.in_force
         return protocol.HostRecord(
             agent=self._incarnation,
-            sequence=self._sequence,
+            revision=revision,
             host=self._settings.place.host,
             data_centre=self._settings.place.data_centre,
             address=str(self._settings.listen),
@@ -301,12 +319,9 @@
         )
 
     def _own_draining(self) -> frozenset[str]:
-        in_force = self._adoption.in_force
         listed = frozenset(
             server.name
-            for server in (
-                in_force.document.backend_servers if in_force else ()
-            )
+            for server in self._adoption.backend_servers
             if str(server.address) in self._leaving_addresses
         )
         return self._gateways.draining_servers() | listed
--- a/src/cardamomdeal/agent/judge.py
+++ b/src/cardamomdeal/agent/judge.py
@@ -9,6 +9,7 @@
 from cardamomdeal.channels import messages as channel
 from cardamomdeal.health import cases
 from cardamomdeal.health import permits
+from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
 from cardamomdeal.membership import rendezvous
 from cardamomdeal.protocol import messages as protocol
@@ -24,7 +25,7 @@
     return rendezvous.ranked(f'judge/{service}', names)[:JUDGES_PER_SERVICE]
 
 
-class Judge(pykka.ThreadingActor):
+class Judge(actor.Actor):
     """Own the cases on the servers of the services judged here."""
 
     def __init__(
@@ -42,7 +43,7 @@
         self._keeper: pykka.ActorRef[Any] | None = None
         self._services: dict[str, cases.ServiceCases] = {}
 
-    def on_receive(self, message: Any) -> Any:
+    def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case messages.EvidenceFrom(sender, report):
--- a/src/cardamomdeal/agent/permit_keeper.py
+++ b/src/cardamomdeal/agent/permit_keeper.py
@@ -9,6 +9,7 @@
 
 from cardamomdeal.agent import messages
 from cardamomdeal.health import permits
+from cardamomdeal.internal import actor
 from cardamomdeal.platform import errors as platform_errors
 from cardamomdeal.platform import service
 from cardamomdeal.protocol import messages as protocol
@@ -18,7 +19,7 @@
 log = logging.getLogger(__name__)
 
 
-class PermitKeeper(pykka.ThreadingActor):
+class PermitKeeper(actor.Actor):
     """Own the connection to the store that permits go through."""
 
     def __init__(
@@ -34,7 +35,7 @@
         self._judge = judge
         self._platform = platform
 
-    def on_receive(self, message: Any) -> None:
+    def receive(self, message: Any) -> None:
         """Handle one message."""
         match message:
             case messages.AskPermit(name, server, capacity):
--- a/src/cardamomdeal/agent/store_reader.py
+++ b/src/cardamomdeal/agent/store_reader.py
@@ -11,6 +11,7 @@
 
 from cardamomdeal.agent import messages
 from cardamomdeal.configuration import records
+from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import errors
 from cardamomdeal.platform import service
@@ -22,7 +23,7 @@
 log = logging.getLogger(__name__)
 
 
-class StoreReader(pykka.ThreadingActor):
+class StoreReader(actor.Actor):
     """Own the connection that watches an environment's record."""
 
     def __init__(
@@ -46,7 +47,7 @@
         self._calls = 0
         self._pause = threading.Event()
 
-    def on_receive(self, message: Any) -> None:
+    def receive(self, message: Any) -> None:
         """Handle one message."""
         match message:
             case messages.FollowStore(follow):
--- a/src/cardamomdeal/configuration/records.py
+++ b/src/cardamomdeal/configuration/records.py
@@ -34,9 +34,7 @@
     @property
     def head(self) -> messages.Head:
         """Return the head that agents exchange."""
-        return messages.Head(
-            self.version, self.digest, self.changes[-1].change_id
-        )
+        return messages.Head(self.version, self.digest)
 
     def find(self, change_id: str) -> Change | None:
         """Return a recent change by its id."""
--- a/src/cardamomdeal/directory/lookup.py
+++ b/src/cardamomdeal/directory/lookup.py
@@ -3,7 +3,6 @@
 import random
 from typing import Any
 
-import pykka
 from returns.result import Success
 
 from cardamomdeal.channels import messages as channel
@@ -12,13 +11,14 @@
 from cardamomdeal.directory import messages
 from cardamomdeal.document import load
 from cardamomdeal.document import model as document_model
+from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import ticker
 from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model
 
 
-class Lookup(pykka.ThreadingActor):
+class Lookup(actor.Actor):
     """Follow the agent's view of the gateways and answer from it."""
 
     def __init__(
@@ -49,7 +49,7 @@
         self._ticker.stop()
         self._channel.command(channel.Stop())
 
-    def on_receive(self, message: Any) -> Any:
+    def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case messages.Tick():
--- a/src/cardamomdeal/gateway/control.py
+++ b/src/cardamomdeal/gateway/control.py
@@ -11,6 +11,7 @@
 from cardamomdeal.channels import task
 from cardamomdeal.document import load
 from cardamomdeal.gateway import messages
+from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import ticker
 from cardamomdeal.protocol import messages as protocol
@@ -23,7 +24,7 @@
 log = logging.getLogger(__name__)
 
 
-class Control(pykka.ThreadingActor):
+class Control(actor.Actor):
     """Report to the agent and hand its documents to the dispatcher."""
 
     def __init__(
@@ -62,7 +63,7 @@
         self._ticker.stop()
         self._channel.command(channel.Stop())
 
-    def on_receive(self, message: Any) -> Any:
+    def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case messages.Tick():
@@ -146,11 +147,19 @@
             work_classes=tuple(sorted(self._settings.work_classes)),
             stopping=self._stopping,
             ready=self._version > 0,
-            in_flight=interval.in_flight,
+            in_flight=self._coarse(interval.in_flight),
             threads=self._settings.threads,
             document_version=self._version,
         )
 
+    def _coarse(self, in_flight: int) -> int:
+        """Round to a quarter of the threads.
+
+        Each change of a record travels to every host.
+        """
+        quarter = max(1, self._settings.threads // 4)
+        return in_flight // quarter * quarter
+
     def _report_histograms(self) -> None:
         encoded = self._dispatcher.ask(messages.TakeHistograms())
         self._send(protocol.GatewayHistograms(self._settings.name, encoded))
--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -4,13 +4,12 @@
 import random
 from typing import Any
 
-import pykka
-
 from cardamomdeal.backend import connection
 from cardamomdeal.document import model
 from cardamomdeal.gateway import evidence
 from cardamomdeal.gateway import idle
 from cardamomdeal.gateway import messages
+from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
 from cardamomdeal.routing import outcomes
 from cardamomdeal.routing import retries
@@ -34,7 +33,7 @@
     attempts: int
 
 
-class Dispatcher(pykka.ThreadingActor):
+class Dispatcher(actor.Actor):
     """Own the state of the backend servers and their connections."""
 
     def __init__(
@@ -57,7 +56,7 @@
         self._evidence = evidence.EvidenceCounter()
         self._histograms = histograms.LatencyHistograms()
 
-    def on_receive(self, message: Any) -> Any:
+    def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case messages.Admit():
--- a/src/cardamomdeal/membership/members.py
+++ b/src/cardamomdeal/membership/members.py
@@ -7,7 +7,6 @@
 from cardamomdeal.internal import address
 from cardamomdeal.protocol import messages
 
-GOSSIPED_RECORDS = 8
 FORGET_AFTER_MS = 3_600_000
 SENT_WITHOUT_REPLY = 3
 # Long enough for a host that joins to have asked most of the others.
@@ -16,10 +15,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Member:
-    """Hold the latest record of a host and when it last advanced."""
+    """Hold the latest heartbeat of a host and its record once known."""
 
-    record: messages.HostRecord
+    heartbeat: messages.Heartbeat
     advanced_at_ms: int
+    record: messages.HostRecord | None = None
+
+    @property
+    def lacks_record(self) -> bool:
+        """Return whether a newer record than ours exists."""
+        return self.record is None or (
+            _revision(self.record) < _revision(self.heartbeat)
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,20 +52,55 @@
         self._members: dict[str, Member] = {}
         self._paths: dict[str, _Path] = {}
 
-    def update(self, record: messages.HostRecord, now_ms: int) -> bool:
-        """Take in a record; return whether it was newer."""
-        name = record.agent.name
+    def note_heartbeat(
+        self, heartbeat: messages.Heartbeat, now_ms: int
+    ) -> None:
+        """Take in a heartbeat, whoever passed it on."""
+        name = heartbeat.agent.name
         if name == self._own_name:
-            return False
+            return
         known = self._members.get(name)
         if known is None:
-            self._members[name] = Member(record, now_ms)
-            return True
-        if _age(record) <= _age(known.record):
-            return False
-        known.record = record
-        known.advanced_at_ms = now_ms
-        return True
+            self._members[name] = Member(heartbeat, now_ms)
+        elif _age(heartbeat) > _age(known.heartbeat):
+            known.heartbeat = heartbeat
+            known.advanced_at_ms = now_ms
+
+    def note_record(self, record: messages.HostRecord) -> None:
+        """Take in the record of a host that has been heard of."""
+        known = self._members.get(record.agent.name)
+        if known is None or not _has_address(record):
+            return
+        if known.record is None or (
+            _revision(record) > _revision(known.record)
+        ):
+            known.record = record
+
+    def lacking_records(self, now_ms: int) -> tuple[str, ...]:
+        """Return the live agents whose latest record is not known."""
+        return tuple(
+            name
+            for name, member in self._members.items()
+            if member.lacks_record and self._is_live(member, now_ms)
+        )
+
+    def records_of(
+        self, names: tuple[str, ...]
+    ) -> tuple[messages.HostRecord, ...]:
+        """Return the known records of some agents."""
+        return tuple(
+            member.record
+            for name in names
+            if (member := self._members.get(name)) and member.record
+        )
+
+    def heartbeats(self, now_ms: int) -> tuple[messages.Heartbeat, ...]:
+        """Return the heartbeats of the live hosts, to pass on."""
+        return tuple(
+            member.heartbeat
+            for member in self._members.values()
+            if self._is_live(member, now_ms)
+        )
 
     def forget_silent(self, now_ms: int) -> None:
         """Drop hosts that were silent for very long."""
@@ -71,13 +113,12 @@
         return tuple(
             member.record
             for member in self._members.values()
-            if now_ms - member.advanced_at_ms <= self._timeout_ms
+            if member.record and self._is_live(member, now_ms)
         )
 
     def known_count(self) -> int:
         """Return how many other hosts are known, live or not."""
-        known = {member.record.address for member in self._members.values()}
-        return len(known | {str(seed) for seed in self._seeds})
+        return len(set(self._all_addresses()))
 
     def answered_versions(self, now_ms: int) -> tuple[int, ...]:
         """Return the versions that peers themselves lately answered."""
@@ -101,7 +142,7 @@
         return frozenset(
             name
             for name, member in self._members.items()
-            if member.record.host in hosts
+            if member.record and member.record.host in hosts
         )
 
     def gossip_targets(
@@ -120,13 +161,6 @@
             chosen = [*chosen[: count - 1], randomness.choice(silent)]
         return tuple(chosen)
 
-    def gossip_records(
-        self, now_ms: int, randomness: random.Random
-    ) -> tuple[messages.HostRecord, ...]:
-        """Choose live records to pass on."""
-        live = self.live(now_ms)
-        return tuple(randomness.sample(live, min(GOSSIPED_RECORDS, len(live))))
-
     def note_sent(self, target: address.Address) -> None:
         """Note that gossip went to a peer."""
         self._paths.setdefault(str(target), _Path()).unanswered += 1
@@ -146,6 +180,9 @@
             if self._unanswered(record) >= SENT_WITHOUT_REPLY
         )
 
+    def _is_live(self, member: Member, now_ms: int) -> bool:
+        return now_ms - member.advanced_at_ms <= self._timeout_ms
+
     def _unanswered(self, record: messages.HostRecord) -> int:
         path = self._paths.get(record.address)
         return path.unanswered if path else 0
@@ -154,9 +191,24 @@
         known = {
             address.parse_address(member.record.address)
             for member in self._members.values()
+            if member.record
         }
         return sorted(known | set(self._seeds))
 
 
-def _age(record: messages.HostRecord) -> tuple[int, int]:
-    return (record.agent.started_ms, record.sequence)
+def _has_address(record: messages.HostRecord) -> bool:
+    try:
+        address.parse_address(record.address)
+    except ValueError:
+        return False
+    return True
+
+
+def _age(heartbeat: messages.Heartbeat) -> tuple[int, int]:
+    return (heartbeat.agent.started_ms, heartbeat.sequence)
+
+
+def _revision(
+    known: messages.HostRecord | messages.Heartbeat,
+) -> tuple[int, int]:
+    return (known.agent.started_ms, known.revision)
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -7,22 +7,21 @@
     """Base of every inner message."""
 
 
-class Head(msgspec.Struct, frozen=True):
+class Head(msgspec.Struct, frozen=True, array_like=True):
     """Name the configuration that is in force."""
 
     version: int
     digest: str
-    change_id: str
 
 
-class Incarnation(msgspec.Struct, frozen=True, order=True):
+class Incarnation(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Name one life of one process."""
 
     name: str
     started_ms: int
 
 
-class GatewayRecord(msgspec.Struct, frozen=True):
+class GatewayRecord(msgspec.Struct, frozen=True, array_like=True):
     """Describe one gateway to the directories."""
 
     incarnation: Incarnation
@@ -35,11 +34,11 @@
     document_version: int
 
 
-class HostRecord(msgspec.Struct, frozen=True):
-    """Describe one entry host; only its own agent raises the sequence."""
+class HostRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Describe one entry host; its agent raises the revision."""
 
     agent: Incarnation
-    sequence: int
+    revision: int
     host: str
     data_centre: str
     address: str
@@ -49,7 +48,7 @@
     draining_servers: tuple[str, ...]
 
 
-class ServerEvidence(msgspec.Struct, frozen=True):
+class ServerEvidence(msgspec.Struct, frozen=True, array_like=True):
     """Count what one interval of real work showed of a backend server.
 
     `latencies` counts answers by the binary logarithm of their milliseconds.
@@ -63,7 +62,7 @@
     latencies: tuple[int, ...]
 
 
-class LatencyHistogram(msgspec.Struct, frozen=True):
+class LatencyHistogram(msgspec.Struct, frozen=True, array_like=True):
     """Carry one encoded latency histogram."""
 
     tenant: str
@@ -71,7 +70,7 @@
     encoded: bytes
 
 
-class ServerState(msgspec.Struct, frozen=True):
+class ServerState(msgspec.Struct, frozen=True, array_like=True):
     """Describe how much work a backend server is to get."""
 
     server: str
@@ -133,12 +132,20 @@
     hosts: tuple[HostRecord, ...]
 
 
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """Tell that an agent was alive; only it raises the sequence."""
+
+    agent: Incarnation
+    sequence: int
+    revision: int
+
+
 class Gossip(Message, frozen=True):
-    """Tell a peer about this host and a few others."""
+    """Tell a peer about this host and the heartbeats of all others."""
 
     asked_at_ms: int
     sender: HostRecord
-    others: tuple[HostRecord, ...]
+    heartbeats: tuple[Heartbeat, ...]
 
 
 class GossipReply(Message, frozen=True):
@@ -146,7 +153,19 @@
 
     asked_at_ms: int
     sender: HostRecord
-    others: tuple[HostRecord, ...]
+    heartbeats: tuple[Heartbeat, ...]
+
+
+class RecordsRequest(Message, frozen=True):
+    """Ask for the records of some agents' hosts."""
+
+    agents: tuple[str, ...]
+
+
+class Records(Message, frozen=True):
+    """Answer with the records that were asked for."""
+
+    records: tuple[HostRecord, ...]
 
 
 class EvidenceReport(Message, frozen=True):
@@ -222,6 +241,8 @@
     | DirectoryView
     | Gossip
     | GossipReply
+    | RecordsRequest
+    | Records
     | EvidenceReport
     | HeldEjections
     | StatusRequest
--- a/tests/contract/test_codec.py
+++ b/tests/contract/test_codec.py
@@ -12,7 +12,7 @@
 from cardamomdeal.protocol import errors
 from cardamomdeal.protocol import messages
 
-OFFER = messages.DocumentOffer(messages.Head(3, 'digest', 'change'), b'{}')
+OFFER = messages.DocumentOffer(messages.Head(3, 'digest'), b'{}')
 REPORT = messages.EvidenceReport(
     reporter='entry-1',
     data_centre='a',
--- a/tests/unit/test_adoption.py
+++ b/tests/unit/test_adoption.py
@@ -11,7 +11,7 @@
 def offer(version: int, deadline_ms: int = 1_000):
     raw = support.small_document(deadline_ms=deadline_ms)
     canonical = check.canonical_bytes(raw)
-    head = messages.Head(version, check.digest_of(canonical), f'c{version}')
+    head = messages.Head(version, check.digest_of(canonical))
     return head, canonical
 
 
@@ -29,7 +29,7 @@
         raw = support.small_document()
         raw['services'][0]['floor_slots'] = 1000
         canonical = check.canonical_bytes(raw)
-        head = messages.Head(1, check.digest_of(canonical), 'change')
+        head = messages.Head(1, check.digest_of(canonical))
         decision = self.adoption.offer(head, canonical)
         self.assertIsInstance(decision, adoption.Refused)
         self.assertEqual(0, self.adoption.version)
--- a/tests/unit/test_members.py
+++ b/tests/unit/test_members.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import msgspec
+
 from cardamomdeal.internal import address
 from cardamomdeal.membership import members
 from cardamomdeal.membership import rendezvous
@@ -12,15 +14,15 @@
 
 
 def record(
-    name: str, sequence: int, started_ms: int = 0, version: int = 1
+    name: str, revision: int = 0, started_ms: int = 0, version: int = 1
 ) -> messages.HostRecord:
     return messages.HostRecord(
         agent=messages.Incarnation(name, started_ms),
-        sequence=sequence,
+        revision=revision,
         host=name,
         data_centre='a',
         address=f'192.0.2.{name.removeprefix("entry-")}:7000',
-        head=messages.Head(version, 'digest', 'change'),
+        head=messages.Head(version, 'digest'),
         ready=True,
         gateways=(),
         draining_servers=(),
@@ -33,22 +35,32 @@
         self.members = members.Members('entry-1', seeds, TIMEOUT_MS)
         self.rng = random.Random(20261204)
 
+    def hear(
+        self, name: str, sequence: int, now_ms: int, started_ms: int = 0
+    ) -> None:
+        """Take in a heartbeat and the record that goes with it."""
+        agent = messages.Incarnation(name, started_ms)
+        self.members.note_heartbeat(
+            messages.Heartbeat(agent, sequence, 0), now_ms
+        )
+        self.members.note_record(record(name, 0, started_ms))
+
     def live(self, now_ms: int) -> list[str]:
         return sorted(r.host for r in self.members.live(now_ms))
 
     def test_only_newer_records_keep_a_host_live(self) -> None:
-        self.members.update(record('entry-2', 5), 0)
+        self.hear('entry-2', 5, 0)
         for sequence in (5, 4, 3):
-            self.members.update(record('entry-2', sequence), 4_000)
+            self.hear('entry-2', sequence, 4_000)
         self.assertEqual(['entry-2'], self.live(5_000))
         self.assertEqual([], self.live(5_001))
-        self.members.update(record('entry-2', 6), 6_000)
+        self.hear('entry-2', 6, 6_000)
         self.assertEqual(['entry-2'], self.live(11_000))
 
     def test_a_new_incarnation_replaces_a_higher_sequence(self) -> None:
-        self.members.update(record('entry-2', 900), 0)
-        self.assertTrue(self.members.update(record('entry-2', 1, 50), 1))
-        self.assertFalse(self.members.update(record('entry-2', 901), 2))
+        self.hear('entry-2', 900, 0)
+        self.hear('entry-2', 1, 1, started_ms=50)
+        self.hear('entry-2', 901, 2)
         latest = self.members.incarnations()['entry-2']
         self.assertEqual(50, latest.started_ms)
 
@@ -57,7 +69,7 @@
     ) -> None:
         peer = address.parse_address('192.0.2.2:7000')
         for sequence in range(5):
-            self.members.update(record('entry-2', sequence), sequence * 500)
+            self.hear('entry-2', sequence, sequence * 500)
             self.members.note_sent(peer)
         self.assertEqual(['entry-2'], self.live(2_000))
         self.assertEqual(('entry-2',), self.members.cut_peers(2_000))
@@ -68,21 +80,43 @@
 
     def test_only_answers_to_our_questions_tell_a_version(self) -> None:
         for sequence in range(9):
-            self.members.update(record('entry-3', sequence), sequence)
+            self.hear('entry-3', sequence, sequence)
         self.assertEqual((), self.members.answered_versions(10))
         reply = messages.GossipReply(20, record('entry-3', 10, version=7), ())
         self.members.note_reply(reply)
         self.assertEqual((7,), self.members.answered_versions(30))
         self.assertEqual((), self.members.answered_versions(20_000))
 
+    def test_a_record_is_lacking_until_its_revision_is_known(self) -> None:
+        agent = messages.Incarnation('entry-3', 0)
+        for revision in (0, 1):
+            heartbeat = messages.Heartbeat(agent, revision, revision)
+            self.members.note_heartbeat(heartbeat, 0)
+            self.assertEqual(('entry-3',), self.members.lacking_records(0))
+            self.members.note_record(record('entry-3', revision))
+            self.assertEqual((), self.members.lacking_records(0))
+        self.members.note_record(record('entry-3', 0, version=9))
+        (known,) = self.members.records_of(('entry-3',))
+        self.assertEqual(1, known.head.version)
+
+    def test_a_record_with_a_damaged_address_is_not_taken(self) -> None:
+        agent = messages.Incarnation('entry-3', 0)
+        self.members.note_heartbeat(messages.Heartbeat(agent, 1, 1), 0)
+        damaged = msgspec.structs.replace(
+            record('entry-3', 1), address='nowhere'
+        )
+        self.members.note_record(damaged)
+        self.assertEqual([], self.live(0))
+        self.assertEqual(1, len(self.members.gossip_targets(2, 0, self.rng)))
+
     def test_seeds_and_members_are_counted_once(self) -> None:
         self.assertEqual(1, self.members.known_count())
-        self.members.update(record('entry-2', 1), 0)
-        self.members.update(record('entry-3', 1), 0)
+        self.hear('entry-2', 1, 0)
+        self.hear('entry-3', 1, 0)
         self.assertEqual(2, self.members.known_count())
 
     def test_silent_hosts_are_still_asked_now_and_then(self) -> None:
-        self.members.update(record('entry-3', 1), 0)
+        self.hear('entry-3', 1, 0)
         asked = {
             str(target)
             for _ in range(50)
