Gossip once a second

Cause: at 24 hosts gossip twice a second made 11.0 KB/s, the whole budget. Each message carries every heartbeat, so a change of liveness still reaches 48 hosts in about three rounds, within the 5 s of peer_timeout_ms; an adopted document is passed on at once, not at the next round.

--- a/bench/control.py
+++ b/bench/control.py
@@ -44,7 +44,7 @@
     document = _document(size)
     options = fleet.FleetOptions(
         production_hosts=size.hosts,
-        gossip_interval_ms=500,
+        gossip_interval_ms=1_000,
         peer_timeout_ms=5_000,
     )
     with fleet.Fleet(document, options) as running:
--- a/bench/detection.py
+++ b/bench/detection.py
@@ -38,7 +38,7 @@
     )
     options = fleet.FleetOptions(
         production_hosts=HOSTS,
-        gossip_interval_ms=500,
+        gossip_interval_ms=1_000,
         peer_timeout_ms=5_000,
         work_ms=5,
     )
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -60,7 +60,7 @@
     platform: Address
     environment: Name
     seed_peers: list[Address] = []
-    gossip_interval_ms: Positive = 500
+    gossip_interval_ms: Positive = 1_000
     gossip_fanout: Positive = 3
     store_readers: Positive = 3
     peer_timeout_ms: Positive = 5_000
