--- a/src/cardamomdeal/agent/core.py
+++ b/src/cardamomdeal/agent/core.py
@@ -258,7 +258,9 @@
             now_ms, self._own_record(), self._heartbeats(now_ms)
         )
         for target in targets:
-            self._members.note_sent(target)
+            if not self._members.note_sent(target):
+                # The connection may have gone silent; a new one may do.
+                self._channel.command(channel.Forget(channel.Peer(target)))
             self._send(channel.Peer(target), gossip)
 
     def _answer_gossip(
--- a/src/cardamomdeal/membership/members.py
+++ b/src/cardamomdeal/membership/members.py
@@ -161,9 +161,11 @@
             chosen = [*chosen[: count - 1], randomness.choice(silent)]
         return tuple(chosen)
 
-    def note_sent(self, target: address.Address) -> None:
-        """Note that gossip went to a peer."""
-        self._paths.setdefault(str(target), _Path()).unanswered += 1
+    def note_sent(self, target: address.Address) -> bool:
+        """Note that gossip goes to a peer; False if it is long silent."""
+        path = self._paths.setdefault(str(target), _Path())
+        path.unanswered += 1
+        return path.unanswered % SENT_WITHOUT_REPLY != 0
 
     def note_reply(self, reply: messages.GossipReply) -> None:
         """Note that a peer answered our gossip."""
