Ask another server when one answers a lookup with an error

Idempotent work whose body can be sent again is now tried on another server when the answer is 500 or above, within the same budget, attempts and deadline; if there is none, the server's own answer is passed on. Orders are never sent again, and their error is passed on as it is. Ruled out: retrying other statuses; 4xx speaks of the request. Before: test_a_lookup_that_one_server_fails_is_answered_by_another red.

--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -232,7 +232,7 @@
         match result:
             case outcomes.Completed(status, _, signals):
                 view.note_signals(signals, now_ms)
-                view.note_result(status < evidence.SERVER_ERROR_STATUS)
+                view.note_result(status < outcomes.SERVER_ERROR_STATUS)
             case outcomes.RefusedByServer(_, signals):
                 view.note_signals(signals, now_ms)
             case outcomes.NotConnected():
--- a/src/cardamomdeal/gateway/evidence.py
+++ b/src/cardamomdeal/gateway/evidence.py
@@ -5,7 +5,6 @@
 from cardamomdeal.protocol import messages
 from cardamomdeal.routing import outcomes
 
-SERVER_ERROR_STATUS = 500
 LATENCY_BUCKETS = 20
 
 
@@ -37,7 +36,7 @@
         match result:
             case outcomes.Completed(status, latency_ms, _):
                 counts.add_latency(latency_ms)
-                if status >= SERVER_ERROR_STATUS:
+                if status >= outcomes.SERVER_ERROR_STATUS:
                     counts.failures += 1
                 else:
                     counts.successes += 1
--- a/src/cardamomdeal/gateway/forwarding.py
+++ b/src/cardamomdeal/gateway/forwarding.py
@@ -146,7 +146,8 @@
             tried = self._attempt()
             match tried:
                 case _Begun():
-                    return self._reply(tried)
+                    if not self._answered_better(tried):
+                        return self._reply(tried)
                 case _Failed(result, reason):
                     self._log_failed_attempt(reason)
                     if outcomes.outcome_of(result) is _UNKNOWN:
@@ -154,6 +155,16 @@
                     if not self._assigned_again(result):
                         return self._give_up(result, reason)
 
+    def _answered_better(self, begun: _Begun) -> bool:
+        """Give up a server's error for another server's answer."""
+        if begun.answer.status < outcomes.SERVER_ERROR_STATUS:
+            return False
+        if not self._assigned_again(begun.completed):
+            return False
+        begun.used.close()
+        self._may_have_run = True
+        return True
+
     def _assigned_again(self, result: outcomes.AttemptResult) -> bool:
         retry = messages.Retry(
             self._assigned.ticket, result, self._body.replayable
--- a/src/cardamomdeal/routing/outcomes.py
+++ b/src/cardamomdeal/routing/outcomes.py
@@ -5,6 +5,8 @@
 
 from cardamomdeal.backend import answers
 
+SERVER_ERROR_STATUS = 500
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Completed:
--- a/src/cardamomdeal/routing/retries.py
+++ b/src/cardamomdeal/routing/retries.py
@@ -48,5 +48,10 @@
             # A refused request was not run, yet its bytes have reached a
             # backend server: only idempotent work is sent a second time.
             return attempted.idempotent and attempted.body_replayable
-        case outcomes.Completed() | outcomes.CallerLeft():
+        case outcomes.Completed(status):
+            failed = status >= outcomes.SERVER_ERROR_STATUS
+            return (
+                failed and attempted.idempotent and attempted.body_replayable
+            )
+        case outcomes.CallerLeft():
             return False
--- a/tests/contract/test_whole_answers.py
+++ b/tests/contract/test_whole_answers.py
@@ -47,6 +47,26 @@
                         json.loads(answer.data)['request_id'],
                     )
 
+    def test_a_lookup_that_one_server_fails_is_answered_by_another(
+        self,
+    ) -> None:
+        self.behave('pantanir-1', fault='error')
+        for number in range(12):
+            answer = self.send('GET', '/stock/1', f'error-{number}')
+            self.assertEqual(200, answer.status, answer.data)
+
+    def test_a_servers_own_error_to_an_order_is_passed_on(self) -> None:
+        self.behave_all(fault='error')
+        answer = self.send('POST', '/orders', body=b'{}')
+        self.assertEqual((500, b'{}'), (answer.status, answer.data))
+        self.assertNotIn('Request-Outcome', answer.headers)
+        self.assertEqual(1, self.executions())
+
+    def test_an_error_of_every_server_is_passed_on(self) -> None:
+        self.behave_all(fault='error')
+        answer = self.send('GET', '/stock/1')
+        self.assertEqual((500, b'{}'), (answer.status, answer.data))
+
     def test_a_broken_order_fails_as_unknown_and_is_sent_once(self) -> None:
         for fault in BROKEN_ANSWERS:
             with self.subTest(fault=fault):
