Do not count a finished request twice against its server

Cause: under a slow server 23 of 1384 lookups were refused with 'no backend server has room' although about one slot of 33 was in use. A server's answer reports the slots in use with its own request among them; the gateway had already taken that request off its count, so it looked like another gateway's and held a slot for 1 s. Two requests at once on a server of three slots were enough to make it look full. Ruled out: real load (33 slots, 12 requests/s a server) and full threads (the answer named the missing room). Before: a server with one slot refused the second request of ten in a row (test_a_slot_is_free_again_once_its_request_has_ended red). After: green.

--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -209,8 +209,10 @@
 
     def _finish(self, finished: messages.Finished) -> None:
         request = self._requests.pop(finished.ticket)
-        self._count_in_flight(request, -1)
+        # The load that an answer reports counts its own request, so it is
+        # read while that request still counts here as well.
         self._take_in(request, finished.result)
+        self._count_in_flight(request, -1)
         self._histograms.record(
             request.tenant,
             model.class_name(request.kind.work_class),
--- a/src/cardamomdeal/routing/servers.py
+++ b/src/cardamomdeal/routing/servers.py
@@ -48,7 +48,7 @@
         if signals.load is not None:
             self.load = signals.load
             self.load_at_ms = now_ms
-            # The report counts the request that it came with.
+            # The report counts this gateway's requests too.
             self.others_slots = max(
                 0, signals.load.used_slots - self.in_flight
             )
--- a/tests/contract/test_truthful_outcomes.py
+++ b/tests/contract/test_truthful_outcomes.py
@@ -167,3 +167,13 @@
                 filler.close()
         self.assert_failed(answer, 503, 'not-run')
         self.assertFalse(fleet.listens(address))
+
+
+class OneSlotTest(support.GatewayCase):
+    server_count = 1
+    slots = 1
+
+    def test_a_slot_is_free_again_once_its_request_has_ended(self) -> None:
+        for number in range(10):
+            answer = self.send('GET', '/stock/1', f'lookup-{number}')
+            self.assertEqual(200, answer.status, answer.data)
--- a/tests/support.py
+++ b/tests/support.py
@@ -98,11 +98,12 @@
     """Give each test a gateway before backend server stand-ins."""
 
     server_count = 3
+    slots = 3
     work_ms = 1
     gateway_changes: dict[str, Any] = {}
 
     def setUp(self) -> None:
-        self.document = small_document(self.server_count)
+        self.document = small_document(self.server_count, self.slots)
         self.workers: dict[str, pykka.ActorRef[Any]] = {}
         self.backends: dict[str, backend_standin.Server] = {}
         for item in self.document['backend_servers']:
