Need two witnesses before a server counts as bad

Cause: with little traffic, six failures that one agent saw made a server bad although two other agents had one good answer each; too few to say that their paths were better. A path lost by one host would have ejected a well server at night, when nobody is there to undo it. At least two agents must have seen it bad wherever two or more report on the service. Tried first and reverted: a further span of 1 s for faster ejections. It made the same mistake more often: one data centre's lost path was taken for the server (test_a_path_that_one_data_centre_has_lost_is_not_the_server failed). Before: test_what_only_one_agent_sees_is_its_path_also_in_quiet_times red.

--- a/src/cardamomdeal/health/evidence.py
+++ b/src/cardamomdeal/health/evidence.py
@@ -1,5 +1,7 @@
 """Evidence on the backend servers of one service over time."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
 
 from cardamomdeal.protocol import messages
@@ -116,20 +118,49 @@
         """Return the sums over one span."""
         return self._sums[span_ms]
 
-    def by_group(self, work: Work, span_ms: int) -> dict[str, Tally]:
-        """Sum by data centre, or by agent where there is only one."""
-        by_centre: dict[str, Tally] = {}
-        by_agent: dict[str, Tally] = {}
-        for key, bucket in self._buckets.items():
-            if key < self._oldest[span_ms]:
-                continue
+    def reporting_agents(self, span_ms: int) -> frozenset[str]:
+        """Return the agents with evidence on any server of the service."""
+        return frozenset(
+            reporter.agent
+            for bucket in self._recent(span_ms)
+            for by_reporter in bucket.values()
+            for reporter in by_reporter
+        )
+
+    def by_agent(self, work: Work, span_ms: int) -> dict[str, Tally]:
+        """Sum what each agent saw."""
+        return self._grouped(work, span_ms, _agent_of)
+
+    def by_data_centre(self, work: Work, span_ms: int) -> dict[str, Tally]:
+        """Sum what the agents of each data centre saw."""
+        return self._grouped(work, span_ms, _data_centre_of)
+
+    def _grouped(
+        self,
+        work: Work,
+        span_ms: int,
+        group_of: Callable[[Reporter], str],
+    ) -> dict[str, Tally]:
+        groups: dict[str, Tally] = {}
+        for bucket in self._recent(span_ms):
             for reporter, tally in bucket.get(work, {}).items():
-                for sums, name in (
-                    (by_centre, reporter.data_centre),
-                    (by_agent, reporter.agent),
-                ):
-                    sums.setdefault(name, Tally()).add(tally)
-        return by_centre if len(by_centre) > 1 else by_agent
+                groups.setdefault(group_of(reporter), Tally()).add(tally)
+        return groups
+
+    def _recent(
+        self, span_ms: int
+    ) -> Iterator[dict[Work, dict[Reporter, Tally]]]:
+        for key, bucket in self._buckets.items():
+            if key >= self._oldest[span_ms]:
+                yield bucket
+
+
+def _agent_of(reporter: Reporter) -> str:
+    return reporter.agent
+
+
+def _data_centre_of(reporter: Reporter) -> str:
+    return reporter.data_centre
 
 
 def _take_away(
--- a/src/cardamomdeal/health/judgement.py
+++ b/src/cardamomdeal/health/judgement.py
@@ -8,6 +8,8 @@
 
 MIN_ATTEMPTS = 5
 MIN_PEERS = 2
+# One agent alone cannot tell a bad server from its own bad path.
+MIN_WITNESSES = 2
 # Chance at which a well server may look this bad in one evaluation.
 SIGNIFICANCE = 1e-8
 PATH_SIGNIFICANCE = 0.01
@@ -140,18 +142,35 @@
     chance = _chance(bad, tally.attempts, question.expected_share)
     if chance >= SIGNIFICANCE:
         return Well()
-    share = bad / tally.attempts
-    for group in window.by_group(work, span_ms).values():
-        # A group that sees far less of it than all together do has a good
-        # path to the server, so the fault is in the others' paths.
-        chance_of_less = statistics.lower_tail(
-            question.bad(group), group.attempts, share
-        )
-        if chance_of_less < PATH_SIGNIFICANCE:
-            return BadPath(_reason(question))
+    if _is_path(question, window, work, bad / tally.attempts, span_ms):
+        return BadPath(_reason(question))
     return BadServer(_reason(question), chance)
 
 
+def _is_path(
+    question: Question,
+    window: evidence.EvidenceWindow,
+    work: evidence.Work,
+    bad_share: float,
+    span_ms: int,
+) -> bool:
+    """Return whether only some of those who use a server see it bad."""
+    by_agent = window.by_agent(work, span_ms)
+    witnesses = sum(question.bad(seen) > 0 for seen in by_agent.values())
+    reporting = len(window.reporting_agents(span_ms))
+    if witnesses < min(MIN_WITNESSES, reporting):
+        return True
+    by_centre = window.by_data_centre(work, span_ms)
+    groups = by_centre if len(by_centre) > 1 else by_agent
+    # A group that sees far less of it than all together do has a good path
+    # to the server, so the fault is in the others' paths.
+    return any(
+        statistics.lower_tail(question.bad(group), group.attempts, bad_share)
+        < PATH_SIGNIFICANCE
+        for group in groups.values()
+    )
+
+
 def _chance(bad: int, attempts: int, expected_share: float) -> float:
     if attempts > MAX_TRIALS:
         bad = int(bad * MAX_TRIALS / attempts)
--- a/tests/unit/test_judgement.py
+++ b/tests/unit/test_judgement.py
@@ -147,6 +147,37 @@
             seen.add(type(verdicts['lager-4']))
         self.assertIn(judgement.BadPath, seen)
 
+    def test_what_only_one_agent_sees_is_its_path_also_in_quiet_times(
+        self,
+    ) -> None:
+        window = evidence.EvidenceWindow()
+        for reporter, centre, successes, failures in (
+            ('entry-1', 'a', 0, 6),
+            ('entry-2', 'b', 1, 0),
+            ('entry-3', 'c', 1, 0),
+        ):
+            seen = [
+                messages.ServerEvidence(
+                    'lager-4', 'stock', successes, failures, 0, ()
+                ),
+                *(
+                    messages.ServerEvidence(name, 'stock', 10, 0, 0, ())
+                    for name in ('lager-1', 'lager-2', 'lager-3')
+                ),
+            ]
+            window.add(
+                messages.EvidenceReport(
+                    reporter=reporter,
+                    data_centre=centre,
+                    service='lager',
+                    asked_at_ms=0,
+                    evidence=tuple(seen),
+                ),
+                0,
+            )
+        verdict = judgement.judge(window)['lager-4']
+        self.assertIsInstance(verdict, judgement.BadPath)
+
     def test_no_healthy_server_is_judged_bad_in_an_hour(self) -> None:
         bench = Bench()
         found: set[str] = set()
