Read the code as a newcomer and mend what reads badly

Also found while reading: a request whose one question to the dispatcher timed out was answered 500 unknown although nothing had been sent; it is now 503 not-run. And no test drove the drain command: one now drains and stops a whole entry host under load (gateways, directory, agent) and counts cuts.

--- a/bench/control.py
+++ b/bench/control.py
@@ -57,7 +57,7 @@
         for host in running.hosts:
             running.start_agent(host)
         running.start_admin()
-        running.wait_until(running._admin_answers, 'the admin API')
+        running.wait_until(running.admin_answers, 'the admin API')
         running.put_in_force(document)
         time.sleep(SETTLE_S)
         return _measure_window(running, size)
--- a/devel/demo.py
+++ b/devel/demo.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import sys
+import time
 import uuid
 
 from devel import caller
@@ -12,6 +13,7 @@
 UPLOAD_BYTES = 32 * 1024**2
 CHUNK = bytes(range(256)) * 256
 LOOKUPS = 20
+HISTOGRAMS_REPORTED_S = 1.5
 
 
 def main() -> None:
@@ -40,6 +42,8 @@
     directories = tuple(host.directory for host in hosts)
     calling = caller.Caller(directories, 'demo')
     results = [_send_kind(calling, kind) for kind in kinds]
+    # Gateways report their histograms every few moments.
+    time.sleep(HISTOGRAMS_REPORTED_S)
     print(running.command('hosts').stdout, end='')
     print(running.command('histograms').stdout, end='')
     codes = running.stop_all()
--- a/devel/fleet.py
+++ b/devel/fleet.py
@@ -141,7 +141,7 @@
         for host in self.hosts:
             self.start_host(host)
         self.start_admin()
-        self.wait_until(self._admin_answers, 'the administration API')
+        self.wait_until(self.admin_answers, 'the administration API')
 
     def start_standins(self) -> None:
         """Start the platform and the backend servers."""
@@ -254,13 +254,13 @@
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings, indent=2))
         program = pathlib.Path(sys.executable).parent / binary
-        return self._run(name, [str(program), str(path)])
+        return self.run(name, [str(program), str(path)])
 
     def run_module(
         self, name: str, module: str, arguments: list[str]
     ) -> Process:
         """Start a stand-in."""
-        return self._run(name, [sys.executable, '-m', module, *arguments])
+        return self.run(name, [sys.executable, '-m', module, *arguments])
 
     def command(
         self, *arguments: str, check_exit: bool = True
@@ -376,7 +376,8 @@
         self.processes.clear()
         self._temporary.cleanup()
 
-    def _run(self, name: str, arguments: list[str]) -> Process:
+    def run(self, name: str, arguments: list[str]) -> Process:
+        """Start a process under a name."""
         process = Process(name, arguments, self.directory)
         self.processes[name] = process
         return process
@@ -406,7 +407,8 @@
             'data_centre': host.data_centre,
         }
 
-    def _admin_answers(self) -> bool:
+    def admin_answers(self) -> bool:
+        """Return whether the administration API is up."""
         try:
             answer = self.http.request(
                 'GET', f'http://{self.admin}/environments/trial', timeout=2.0
--- a/src/cardamomdeal/agent/store_reader.py
+++ b/src/cardamomdeal/agent/store_reader.py
@@ -9,11 +9,12 @@
 from returns.result import Result
 from returns.result import Success
 
+from cardamomdeal.agent import errors
 from cardamomdeal.agent import messages
 from cardamomdeal.configuration import records
 from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
-from cardamomdeal.internal import errors
+from cardamomdeal.internal import errors as base_errors
 from cardamomdeal.platform import service
 from cardamomdeal.settings import model
 
@@ -79,7 +80,7 @@
 
     def _read_change(
         self,
-    ) -> Result[messages.StoreRead | None, errors.CardamomdealError]:
+    ) -> Result[messages.StoreRead | None, base_errors.CardamomdealError]:
         self._calls += 1
         seen = self._platform.watch(
             self._key, self._revision, self._settings.watch_ms
@@ -92,7 +93,7 @@
 
     def _read_document(
         self, value: str, revision: int
-    ) -> Result[messages.StoreRead | None, errors.CardamomdealError]:
+    ) -> Result[messages.StoreRead | None, base_errors.CardamomdealError]:
         match records.read_record(value):
             case Failure(error):
                 return Failure(error)
@@ -108,11 +109,7 @@
                 self._digest = record.digest
                 return Success(messages.StoreRead(record, text.encode()))
             case Success(_):
-                return Failure(
-                    errors.CardamomdealError(
-                        f'document {record.digest} is missing'
-                    )
-                )
+                return Failure(errors.DocumentMissing(record.digest))
             case failed:
                 return failed
 
--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -139,7 +139,7 @@
 
     def _assign(self, ticket: int, request: _Request) -> messages.Assigned:
         view = request.view
-        self._count_in_flight(request, 1)
+        view.in_flight += 1
         return messages.Assigned(
             ticket=ticket,
             kind=request.kind,
@@ -201,7 +201,7 @@
         if view is None or not self._budget(request.kind.service).take():
             return messages.NoRetry()
         self._take_in(request, retry.result)
-        self._count_in_flight(request, -1)
+        request.view.in_flight -= 1
         request.view = view
         request.tried = tried | {view.server.name}
         request.attempts += 1
@@ -212,7 +212,7 @@
         # The load that an answer reports counts its own request, so it is
         # read while that request still counts here as well.
         self._take_in(request, finished.result)
-        self._count_in_flight(request, -1)
+        request.view.in_flight -= 1
         self._histograms.record(
             request.tenant,
             model.class_name(request.kind.work_class),
@@ -247,14 +247,6 @@
             case outcomes.CallerLeft():
                 pass
 
-    def _count_in_flight(self, request: _Request, step: int) -> None:
-        request.view.in_flight += step
-        match request.kind.work_class:
-            case model.UploadWork():
-                request.view.in_flight_uploads += step
-            case model.ShortWork():
-                pass
-
     def _budget(self, service: str) -> retries.RetryBudget:
         return self._budgets.setdefault(service, retries.RetryBudget())
 
--- a/src/cardamomdeal/gateway/forwarding.py
+++ b/src/cardamomdeal/gateway/forwarding.py
@@ -20,7 +20,8 @@
 from cardamomdeal.routing import outcomes
 from cardamomdeal.settings import model as settings_model
 
-ASK_TIMEOUT_MS = 2_000
+ASK_TIMEOUT_S = 2.0
+RETRY_AFTER_MS = 1_000
 # Shorter than the wait for the answer, so that nothing is assigned to a
 # request that has given up waiting.
 ADMISSION_VALID_MS = 1_500
@@ -72,33 +73,39 @@
 
     def serve(self, request: caller.CallerRequest) -> caller.Reply:
         """Return the answer to a request."""
-        decision = self._ask(
-            messages.Admit(
-                request.method,
-                request.path,
-                request.tenant,
-                request.body_bytes,
-                self._time.now_ms() + ADMISSION_VALID_MS,
-            )
-        )
-        match decision:
-            case messages.Rejected():
+        match self._admit(request):
+            case messages.Rejected() as rejected:
                 return caller.failure(
-                    decision.status,
+                    rejected.status,
                     outcomes.Outcome.NOT_RUN,
-                    decision.reason,
+                    rejected.reason,
                     request.request_id,
-                    decision.retry_after_ms,
-                    decision.allowed,
+                    rejected.retry_after_ms,
+                    rejected.allowed,
                 )
-            case messages.Assigned():
-                return self._exchange(request, decision)
+            case messages.Assigned() as assigned:
+                return self._exchange(request, assigned)
+
+    def _admit(self, request: caller.CallerRequest) -> messages.Decision:
+        admit = messages.Admit(
+            request.method,
+            request.path,
+            request.tenant,
+            request.body_bytes,
+            self._time.now_ms() + ADMISSION_VALID_MS,
+        )
+        try:
+            return self._dispatcher.ask(admit, timeout=ASK_TIMEOUT_S)
+        except pykka.Timeout:
+            return messages.Rejected(503, 'overloaded', RETRY_AFTER_MS)
 
     def _exchange(
         self, request: caller.CallerRequest, assigned: messages.Assigned
     ) -> caller.Reply:
         try:
-            exchange = _Exchange(self, request, assigned)
+            exchange = _Exchange(
+                self._settings, self._dispatcher, self._time, request, assigned
+            )
         except BaseException:
             # Nothing was sent yet: the slot goes back unused.
             self._dispatcher.tell(
@@ -111,23 +118,21 @@
             raise
         return exchange.run()
 
-    def _ask(self, message: Any) -> Any:
-        return self._dispatcher.ask(message, timeout=ASK_TIMEOUT_MS / 1000)
-
 
 class _Exchange:
     """Carry one admitted request to its end."""
 
     def __init__(
         self,
-        forwarder: Forwarder,
+        settings: settings_model.GatewaySettings,
+        dispatcher: pykka.ActorRef[Any],
+        time: clock.Clock,
         request: caller.CallerRequest,
         assigned: messages.Assigned,
     ) -> None:
-        self._settings = forwarder._settings
-        self._dispatcher = forwarder._dispatcher
-        self._ask = forwarder._ask
-        self._time = forwarder._time
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._time = time
         self._request = request
         self._assigned = assigned
         self._body = _Body(request, assigned.kind.max_body_bytes)
@@ -138,7 +143,7 @@
         try:
             return self._run()
         except BaseException:
-            self._finish(outcomes.CallerLeft(), None)
+            self.finish(outcomes.CallerLeft(), None)
             raise
 
     def _run(self) -> caller.Reply:
@@ -149,7 +154,7 @@
                     if not self._answered_better(tried):
                         return self._reply(tried)
                 case _Failed(result, reason):
-                    self._log_failed_attempt(reason)
+                    self.log_failed_attempt(reason)
                     if outcomes.outcome_of(result) is _UNKNOWN:
                         self._may_have_run = True
                     if not self._assigned_again(result):
@@ -169,7 +174,7 @@
         retry = messages.Retry(
             self._assigned.ticket, result, self._body.replayable
         )
-        match self._ask(retry):
+        match self._dispatcher.ask(retry, timeout=ASK_TIMEOUT_S):
             case messages.Assigned() as assigned:
                 self._assigned = assigned
                 return True
@@ -264,7 +269,7 @@
         if begun.answer.status not in BODYLESS_STATUSES:
             headers.extend(self._length_header(begun))
         if begun.rest is None:
-            self._finish(begun.completed, begun.used)
+            self.finish(begun.completed, begun.used)
             body: Iterable[bytes] = begun.buffered
         else:
             body = _AnswerBody(self, begun)
@@ -282,10 +287,10 @@
     def _give_up(
         self, result: outcomes.AttemptResult, reason: str
     ) -> caller.Reply:
-        self._finish(result, None)
+        self.finish(result, None)
         match result:
             case outcomes.RefusedByServer() | outcomes.NotConnected():
-                status, retry_after_ms = 503, 1_000
+                status, retry_after_ms = 503, RETRY_AFTER_MS
             case outcomes.Broken() if self._is_late():
                 status, retry_after_ms = 504, None
             case _:
@@ -300,16 +305,18 @@
     def _is_late(self) -> bool:
         return self._time.now_ms() >= self._assigned.deadline_at_ms
 
-    def _finish(
+    def finish(
         self,
         result: outcomes.AttemptResult,
         used: connection.BackendConnection | None,
     ) -> None:
+        """Report the end of the request and hand its connection back."""
         self._dispatcher.tell(
             messages.Finished(self._assigned.ticket, result, used)
         )
 
-    def _log_failed_attempt(self, reason: str) -> None:
+    def log_failed_attempt(self, reason: str) -> None:
+        """Log why an attempt brought no whole answer."""
         log.warning(
             'attempt failed',
             extra={
@@ -335,7 +342,7 @@
             yield from self._begun.rest or ()
         except backend_errors.ExchangeBroken as error:
             broken = outcomes.Broken(self._begun.latency_ms, str(error), False)
-            self._exchange._log_failed_attempt(str(error))
+            self._exchange.log_failed_attempt(str(error))
             self._end(broken, None)
             # Raising makes the server close the connection early, which
             # is the only way left to tell the caller.
@@ -356,7 +363,7 @@
         self._open = False
         if used is None:
             self._begun.used.close()
-        self._exchange._finish(result, used)
+        self._exchange.finish(result, used)
 
 
 class _Body:
--- a/src/cardamomdeal/routing/servers.py
+++ b/src/cardamomdeal/routing/servers.py
@@ -33,7 +33,6 @@
 
     server: model.BackendServer
     in_flight: int = 0
-    in_flight_uploads: int = 0
     load: answers.Load | None = None
     load_at_ms: int = 0
     others_slots: int = 0
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -41,8 +41,8 @@
 
     agent: Address
     work_classes: Annotated[
-        list[Literal['short', 'upload']], pydantic.Field(min_length=1)
-    ] = ['short', 'upload']
+        frozenset[Literal['short', 'upload']], pydantic.Field(min_length=1)
+    ] = frozenset(('short', 'upload'))
     threads: Annotated[int, pydantic.Field(strict=True, gt=0, le=256)] = 16
     keep_for_ms: Positive = DEFAULT_KEEP_FOR_MS
     # At least peer_timeout_ms of the agents and view_valid_ms of the
@@ -59,7 +59,7 @@
 
     platform: Address
     environment: Name
-    seed_peers: list[Address] = []
+    seed_peers: tuple[Address, ...] = ()
     gossip_interval_ms: Positive = 1_000
     gossip_fanout: Positive = 3
     store_readers: Positive = 3
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -68,7 +68,7 @@
         self._directories = directories
         self._stop = threading.Event()
         self._threads = [
-            threading.Thread(target=self._run, args=(number,))
+            threading.Thread(target=self.run, args=(number,))
             for number in range(threads)
         ]
 
@@ -82,7 +82,7 @@
         for thread in self._threads:
             thread.join()
 
-    def _run(self, number: int) -> None:
+    def run(self, number: int) -> None:
         calling = caller.Caller(self._directories, f'tenant-{number}')
         while not self._stop.wait(0.01):
             for kind, method, path in (
@@ -372,6 +372,31 @@
         )
 
 
+class DrainedHostTest(FleetCase):
+    options = fleet.FleetOptions(keep_for_ms=1_000, notice_ms=6_000)
+
+    def test_a_host_that_is_drained_and_stopped_cuts_nothing(self) -> None:
+        leaving = self.hosts[1]
+        directories = tuple(host.directory for host in reversed(self.hosts))
+        with Load(directories) as load:
+            time.sleep(0.5)
+            self.fleet.command('drain', leaving.name)
+            for work_class in ('short', 'upload'):
+                name = f'gateway-{work_class}-{leaving.name}'
+                self.assertEqual(0, self.fleet.processes[name].wait(), name)
+            for kind in ('directory', 'agent'):
+                name = f'{kind}-{leaving.name}'
+                self.assertEqual(0, self.fleet.processes[name].stop(), name)
+            time.sleep(1.0)
+        self.assertEqual([], load.errors)
+        self.assertEqual({200}, {answer[2] for answer in load.answers})
+
+    def test_a_host_that_is_not_there_cannot_be_drained(self) -> None:
+        done = self.fleet.command('drain', 'nowhere', check_exit=False)
+        self.assertEqual(1, done.returncode)
+        self.assertIn('nowhere', done.stderr)
+
+
 class BadStartTest(unittest.TestCase):
     def test_bad_settings_name_the_field_and_exit_with_2(self) -> None:
         document = support.small_document()
@@ -410,7 +435,7 @@
             process = starting.run_binary('missing', program, {})
             process.kill()
             pathlib.Path(starting.directory / 'missing.json').unlink()
-            again = starting._run('again', process.arguments)
+            again = starting.run('again', process.arguments)
             self.assertEqual(2, again.wait())
             self.assertIn('missing.json', again.log.read_text())
 
