Say what within_floor returns

Cause: read as a newcomer, its doc comment said that it returns the ejections beyond the floor; it returns those within it. Ruled out: a wrong use, both callers take the result as what is kept. No behaviour changed; the floor histories stay green (6 passed).

--- a/src/cardamomdeal/health/permits.py
+++ b/src/cardamomdeal/health/permits.py
@@ -108,7 +108,7 @@
 def within_floor(
     ejected: tuple[str, ...], capacity: Capacity
 ) -> frozenset[str]:
-    """Keep the first ejections that the floor allows, return the others."""
+    """Return the first ejections that the floor allows together."""
     kept: frozenset[str] = frozenset()
     for server in ejected:
         if capacity.allows(kept | {server}):
