--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -6,6 +6,9 @@
 import dataclasses
 import http.client
 import itertools
+import re
+import select
+from typing import Protocol
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -17,6 +20,7 @@
 
 CHUNK_BYTES = 64 * 1024
 MIN_SOCKET_TIMEOUT_MS = 1
+KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +43,29 @@
     silence_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeRequest:
+    """Hold a request whose body is in memory, with its final headers."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    # What the server must echo for the answer to be this request's.
+    id_header: str
+    request_id: str
+
+
+class Hangup(Protocol):
+    """Tell whether the one who waits for the answer has gone."""
+
+    def register(self, poller: select.poll) -> None:
+        """Make the poller wake when the other end may have gone."""
+
+    def has_gone(self) -> bool:
+        """Return whether the other end has closed its connection."""
+
+
 class _SurplusCheckingResponse(http.client.HTTPResponse):
     """Notice bytes that follow an answer, which belong to no request."""
 
@@ -118,6 +145,8 @@
         """Connect at once; raise ConnectFailed."""
         self._time = time
         self.reusable = False
+        # How long the server keeps the connection when idle, if it told.
+        self.keep_alive_ms: int | None = None
         self._http = HTTPConnection(
             server.host, server.port, timeout=connect_timeout_ms / 1000
         )
@@ -152,11 +181,95 @@
             answer.spoil()
         return answer
 
+    def exchange_whole(
+        self, request: WholeRequest, limit: TimeLimit, hangup: Hangup | None
+    ) -> Answer:
+        """Send a request and read the answer's head.
+
+        Raise RequesterLeft when the hangup is seen while waiting, and
+        ExchangeBroken when no answer of this request comes.
+        """
+        self.reusable = False
+        self.limit_silence(limit)
+        try:
+            self._send_head(request)
+            sent_whole = self._send_body(request.body, limit, hangup)
+        except TimeoutError as error:
+            raise errors.AnswerTimedOut(str(error)) from error
+        except (BrokenPipeError, ConnectionResetError):
+            # An answer that was given before the whole request was read
+            # may still be there.
+            sent_whole = False
+        except (http.client.HTTPException, OSError, ValueError) as error:
+            raise errors.ExchangeBroken(str(error)) from error
+        self._await_answer(limit, hangup)
+        answer = self._answer_head(limit)
+        self._check_echo(answer, request.id_header, request.request_id)
+        self._check_lengths(answer)
+        self._note_keep_alive(answer)
+        if not sent_whole:
+            answer.spoil()
+        return answer
+
     def close(self) -> None:
         """Close the connection."""
         self.reusable = False
         self._http.close()
 
+    def _send_head(self, request: WholeRequest) -> None:
+        # The library would add headers that the caller did not send.
+        headers = {
+            'User-Agent': urllib3.util.SKIP_HEADER,
+            'Accept-Encoding': urllib3.util.SKIP_HEADER,
+            **dict(request.headers),
+        }
+        self._http.request(
+            request.method,
+            request.target,
+            headers=headers,
+            preload_content=False,
+            decode_content=False,
+            enforce_content_length=True,
+        )
+
+    def _send_body(
+        self, body: bytes, limit: TimeLimit, hangup: Hangup | None
+    ) -> bool:
+        """Send a body; return False when an answer comes before its end."""
+        unsent = memoryview(body)
+        while unsent:
+            events = self._wait_for(
+                select.POLLIN | select.POLLOUT, limit, hangup
+            )
+            if events & select.POLLIN:
+                return False
+            self.limit_silence(limit)
+            unsent = unsent[self._http.sock.send(unsent[:CHUNK_BYTES]) :]
+        return True
+
+    def _await_answer(self, limit: TimeLimit, hangup: Hangup | None) -> None:
+        if self._http.sock is not None:
+            self._wait_for(select.POLLIN, limit, hangup)
+
+    def _wait_for(
+        self, events: int, limit: TimeLimit, hangup: Hangup | None
+    ) -> int:
+        """Wait for the server and the requester at once."""
+        poller = select.poll()
+        own = self._http.sock.fileno()
+        poller.register(own, events)
+        if hangup is not None:
+            hangup.register(poller)
+        while True:
+            left_ms = limit.ends_at_ms - self._time.now_ms()
+            if left_ms <= 0:
+                raise errors.AnswerTimedOut('the deadline has passed')
+            ready = dict(poller.poll(left_ms))
+            if own in ready:
+                return ready[own]
+            if ready and hangup is not None and hangup.has_gone():
+                raise errors.RequesterLeft('the caller has gone')
+
     def _send(self, request: Request, limit: TimeLimit) -> bool:
         try:
             self._http.request(
@@ -213,9 +326,24 @@
         return Answer(raw, limit, self)
 
     def _check_answer(self, answer: Answer, request: Request) -> None:
-        echoed = answer.headers.get(answers.REQUEST_ID)
-        if echoed is not None and echoed != request.request_id:
+        self._check_echo(answer, answers.REQUEST_ID, request.request_id)
+        self._check_lengths(answer)
+        if not answer.states_its_end and request.method != 'HEAD':
+            # The end of such an answer looks like a connection that broke.
+            raise errors.AnswerBroken('the answer does not state its end')
+
+    def _note_keep_alive(self, answer: Answer) -> None:
+        told = KEEP_ALIVE_TIMEOUT.search(answer.headers.get('Keep-Alive', ''))
+        self.keep_alive_ms = int(told[1]) * 1_000 if told else None
+
+    def _check_echo(
+        self, answer: Answer, id_header: str, request_id: str
+    ) -> None:
+        echoed = answer.headers.get(id_header)
+        if echoed is not None and echoed != request_id:
             raise errors.AnswerBroken('the answer is to another request')
+
+    def _check_lengths(self, answer: Answer) -> None:
         lengths = set(
             itertools.chain.from_iterable(
                 value.split(',')
@@ -224,9 +352,6 @@
         )
         if len(lengths) > 1:
             raise errors.AnswerBroken('the answer states two lengths')
-        if not answer.states_its_end and request.method != 'HEAD':
-            # The end of such an answer looks like a connection that broke.
-            raise errors.AnswerBroken('the answer does not state its end')
 
 
 def forwarded_headers(
--- a/src/cardamomdeal/backend/errors.py
+++ b/src/cardamomdeal/backend/errors.py
@@ -23,5 +23,9 @@
     """Report an answer that is incomplete or not ours."""
 
 
+class RequesterLeft(BackendError):
+    """Report that the one who asked went away while the server worked."""
+
+
 class RequestBodyLost(BackendError):
     """Report that the caller did not send its whole request."""
--- a/src/cardamomdeal/gateway/idle.py
+++ b/src/cardamomdeal/backend/idle.py
@@ -1,53 +1,78 @@
 """Idle connections to backend servers."""
 
 import collections
+from collections.abc import Hashable
 import dataclasses
+from typing import Generic
+from typing import TypeVar
 
 from cardamomdeal.backend import connection
 
 MAX_IDLE_MS = 5_000
+# Servers may tell for how many seconds they keep an idle connection; this
+# much earlier it is not used any more.
+KEEP_ALIVE_MARGIN_MS = 1_500
 MAX_IDLE_PER_SERVER = 2
 
+Server = TypeVar('Server', bound=Hashable)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Idle:
     connection: connection.BackendConnection
-    since_ms: int
+    until_ms: int
 
 
-class IdleConnections:
+class IdleConnections(Generic[Server]):
     """Keep clean connections for a short time, the newest first."""
 
     def __init__(self) -> None:
-        self._idle: dict[str, collections.deque[_Idle]] = {}
+        self._idle: dict[Server, collections.deque[_Idle]] = {}
 
     def put(
         self,
-        server: str,
+        server: Server,
         returned: connection.BackendConnection,
         now_ms: int,
     ) -> None:
         """Keep a connection, or close it when there are enough."""
         kept = self._idle.setdefault(server, collections.deque())
-        if not returned.reusable or len(kept) >= MAX_IDLE_PER_SERVER:
+        keep_ms = MAX_IDLE_MS
+        if returned.keep_alive_ms is not None:
+            keep_ms = min(
+                keep_ms, returned.keep_alive_ms - KEEP_ALIVE_MARGIN_MS
+            )
+        if (
+            not returned.reusable
+            or keep_ms < 0
+            or len(kept) >= MAX_IDLE_PER_SERVER
+        ):
             returned.close()
             return
-        kept.append(_Idle(returned, now_ms))
+        kept.append(_Idle(returned, now_ms + keep_ms))
 
     def take(
-        self, server: str, now_ms: int
+        self, server: Server, now_ms: int
     ) -> connection.BackendConnection | None:
         """Return a connection that was in use a moment ago, if any."""
         kept = self._idle.get(server)
         while kept:
             idle = kept.pop()
-            fresh = now_ms - idle.since_ms <= MAX_IDLE_MS
-            if fresh and idle.connection.is_clean():
+            if now_ms <= idle.until_ms and idle.connection.is_clean():
                 return idle.connection
             idle.connection.close()
         return None
 
-    def drop(self, server: str) -> None:
+    def has(self, server: Server, now_ms: int) -> bool:
+        """Return whether a connection to the server is kept."""
+        kept = self._idle.get(server)
+        return bool(kept) and now_ms <= kept[-1].until_ms
+
+    def servers(self) -> tuple[Server, ...]:
+        """Return the servers to which connections are kept."""
+        return tuple(self._idle)
+
+    def drop(self, server: Server) -> None:
         """Close the connections to one server."""
         for idle in self._idle.pop(server, ()):
             idle.connection.close()
@@ -55,7 +80,7 @@
     def drop_stale(self, now_ms: int) -> None:
         """Close every connection that was idle for too long."""
         for kept in self._idle.values():
-            while kept and now_ms - kept[0].since_ms > MAX_IDLE_MS:
+            while kept and now_ms > kept[0].until_ms:
                 kept.popleft().connection.close()
 
     def drop_all(self) -> None:
--- /dev/null
+++ b/src/cardamomdeal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Program of an entry host: forwards requests and knows the fleet."""
--- /dev/null
+++ b/src/cardamomdeal/entry/caller.py
@@ -0,0 +1,200 @@
+"""Caller's side of a request at an entry host."""
+
+import dataclasses
+import http
+import select
+import socket
+from typing import Any
+
+from cardamomdeal.backend import answers
+from cardamomdeal.backend import errors as backend_errors
+from cardamomdeal.entry import errors
+from cardamomdeal.platform import wire
+
+# Added by the server that reads requests, for the code that serves them.
+ENVIRON_SOCKET = 'cardamomdeal.socket'
+CHUNK_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold a request whose body was read whole."""
+
+    request_id: str
+    method: str
+    target: str
+    hostname: str
+    path: str
+    deadline_ms: int | None
+    headers: dict[str, str]
+    body: bytes
+    connection: socket.socket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold an answer to the caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def status_line(self) -> str:
+        """Return the status with its standard phrase."""
+        try:
+            return f'{self.status} {http.HTTPStatus(self.status).phrase}'
+        except ValueError:
+            return f'{self.status} Other'
+
+
+class CallerHangup:
+    """Watch a caller's connection while its request is being served."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection = connection
+
+    def register(self, poller: select.poll) -> None:
+        """Wake the poller when the caller shuts its connection down."""
+        # Waiting for readable bytes would wake without end when the
+        # caller has sent its next request already.
+        poller.register(self._connection, select.POLLRDHUP)
+
+    def has_gone(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        poller = select.poll()
+        poller.register(self._connection, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
+
+def read_request(
+    environ: dict[str, Any], max_body_bytes: int
+) -> CallerRequest:
+    """Read a request; raise MalformedRequest, or BodyTooLarge."""
+    headers = _headers(environ)
+    target = environ['REQUEST_URI']
+    if isinstance(target, bytes):
+        target = target.decode('latin-1')
+    return CallerRequest(
+        request_id=headers.get(wire.REQUEST_ID, ''),
+        method=environ['REQUEST_METHOD'],
+        target=target,
+        hostname=headers.get('Host', '').partition(':')[0],
+        path=target.partition('?')[0],
+        deadline_ms=_deadline_ms(headers),
+        headers=headers,
+        body=_read_body(environ, headers, max_body_bytes),
+        connection=environ[ENVIRON_SOCKET],
+    )
+
+
+def forwarded_headers(
+    request: CallerRequest, server_id: str, left_ms: int
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers for a backend server."""
+    ours = {
+        wire.DEADLINE_MS.lower(),
+        wire.EXPECTED_SERVER.lower(),
+        'content-length',
+        'expect',
+    }
+    headers = [
+        (name, value)
+        for name, value in answers.end_to_end(request.headers)
+        if name.lower() not in ours
+    ]
+    has_body = 'Transfer-Encoding' in request.headers or (
+        'Content-Length' in request.headers
+    )
+    if has_body:
+        headers.append(('Content-Length', str(len(request.body))))
+    headers.append((wire.DEADLINE_MS, str(left_ms)))
+    headers.append((wire.EXPECTED_SERVER, server_id))
+    return tuple(headers)
+
+
+def failure(
+    status: int,
+    reason: str,
+    request_id: str,
+    retry_after_ms: int | None = None,
+) -> Reply:
+    """Build the answer to a request that was not served."""
+    body = reason.encode() + b'\n'
+    headers = [
+        ('Content-Type', 'text/plain; charset=utf-8'),
+        ('Content-Length', str(len(body))),
+    ]
+    if request_id:
+        headers.append((wire.REQUEST_ID, request_id))
+    if retry_after_ms is not None:
+        headers.append(('Retry-After', f'{retry_after_ms / 1000:.2f}'))
+    return Reply(status, tuple(headers), body)
+
+
+def _headers(environ: dict[str, Any]) -> dict[str, str]:
+    headers = {
+        key[5:].replace('_', '-').title(): value
+        for key, value in environ.items()
+        if key.startswith('HTTP_')
+    }
+    for key, name in (
+        ('CONTENT_TYPE', 'Content-Type'),
+        ('CONTENT_LENGTH', 'Content-Length'),
+    ):
+        if environ.get(key):
+            headers[name] = environ[key]
+    return headers
+
+
+def _deadline_ms(headers: dict[str, str]) -> int | None:
+    text = headers.get(wire.DEADLINE_MS)
+    if text is None:
+        return None
+    try:
+        return max(0, int(float(text)))
+    except ValueError:
+        raise errors.MalformedRequest(
+            f'{wire.DEADLINE_MS}: {text!r} is not a number of milliseconds'
+        ) from None
+
+
+def _read_body(
+    environ: dict[str, Any], headers: dict[str, str], max_body_bytes: int
+) -> bytes:
+    chunked = 'Transfer-Encoding' in headers
+    length = headers.get('Content-Length')
+    if length is not None:
+        if not (length.isascii() and length.isdigit()):
+            raise errors.MalformedRequest(
+                f'Content-Length: {length!r} is not a number of bytes'
+            )
+        if chunked:
+            raise errors.MalformedRequest(
+                'Content-Length and Transfer-Encoding: send only one'
+            )
+        if int(length) > max_body_bytes:
+            raise errors.BodyTooLarge(f'the limit is {max_body_bytes} bytes')
+    if not chunked and not int(length or 0):
+        return b''
+    body = b''.join(_chunks(environ['wsgi.input'], max_body_bytes))
+    if length is not None and len(body) < int(length):
+        raise backend_errors.RequestBodyLost(
+            f'{int(length) - len(body)} bytes are missing'
+        )
+    return body
+
+
+def _chunks(reader: Any, max_body_bytes: int) -> Any:
+    size = 0
+    while True:
+        try:
+            chunk = reader.read(CHUNK_BYTES)
+        except (OSError, ValueError) as error:
+            raise backend_errors.RequestBodyLost(str(error)) from error
+        if not chunk:
+            return
+        size += len(chunk)
+        if size > max_body_bytes:
+            raise errors.BodyTooLarge(f'the limit is {max_body_bytes} bytes')
+        yield chunk
--- /dev/null
+++ b/src/cardamomdeal/entry/core.py
@@ -0,0 +1,369 @@
+"""Actor that holds what an entry host knows of the fleet."""
+
+import collections
+import logging
+import random
+from typing import Any
+
+from cardamomdeal.channels import datagrams
+from cardamomdeal.entry import knowledge
+from cardamomdeal.entry import messages
+from cardamomdeal.fleet import model
+from cardamomdeal.fleet import readers
+from cardamomdeal.internal import actor
+from cardamomdeal.internal import address
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import ticker
+from cardamomdeal.platform import store
+from cardamomdeal.protocol import messages as protocol
+from cardamomdeal.settings import model as settings_model
+
+TICK_MS = 300
+# A view that no reader confirmed for this long is this host's to refresh.
+STALE_MS = 1_200
+# Pauses between failed calls: short for the hosts that read for all, long
+# for the others, which would only add to the load of a store in trouble.
+READER_RETRY_MS = 400
+OTHER_RETRY_MS = 1_500
+# Changes kept for hosts that missed a datagram.
+KEPT_CHANGES = 200
+# Names of addresses in one answer, at most: the callers' own bound.
+MAX_ADDRESSES = 64
+# Below this many hosts in a data centre its callers get others as well.
+MIN_LOCAL_HOSTS = 3
+KEEP_FOR_MS = 2_000
+
+log = logging.getLogger(__name__)
+
+
+class Core(actor.Actor):
+    """Own the view of the store, the peers and the datagram channel."""
+
+    def __init__(
+        self,
+        settings: settings_model.EntrySettings,
+        host: model.EntryHost,
+        time: clock.Clock,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._host = host
+        self._time = time
+        self._random = random.Random()
+        self._knowledge = knowledge.Knowledge(time)
+        self._readers = readers.Readers(settings.name)
+        self._changes: collections.deque[protocol.StoreEntry] = (
+            collections.deque(maxlen=KEPT_CHANGES)
+        )
+        # Changes after this revision are all in the queue above.
+        self._changes_after = 0
+        self._confirmed_at_ms: int | None = None
+        self._store_away = False
+        self._asked_at_ms = 0
+        self._stopping = False
+        self._tasks: messages.TasksStarted | None = None
+        self._reading = False
+        self._datagrams = datagrams.DatagramTask(
+            self.actor_ref, settings.peers
+        )
+
+    def on_start(self) -> None:
+        """Start the channel and the ticks."""
+        self._datagrams.start()
+        self._ticker = ticker.Ticker(self.actor_ref, messages.Tick(), TICK_MS)
+        self._ticker.start()
+
+    def on_stop(self) -> None:
+        """Stop the ticks and close the channel."""
+        self._ticker.stop()
+        self._datagrams.command(datagrams.StopSending())
+
+    def receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case messages.Tick():
+                self._tick()
+            case datagrams.Arrived(sender, received):
+                self._take(sender, received)
+            case messages.StoreRead():
+                self._take_read(message)
+            case messages.StoreChanged(after_revision, events, revision):
+                self._take_changes(after_revision, events, revision)
+            case messages.StoreFailed(reason):
+                self._note_store_failed(reason)
+            case messages.SawFailure(server, reason):
+                self._warn_peers(server, reason)
+            case messages.FindAddresses(data_centre):
+                return self._find_addresses(data_centre)
+            case messages.IsReady():
+                return self._is_ready()
+            case messages.TasksStarted():
+                self._tasks = message
+                self._choose_reading()
+            case messages.StopSoon():
+                self._stopping = True
+        return None
+
+    def _tick(self) -> None:
+        now_ms = self._time.now_ms()
+        if self._knowledge.expire(now_ms):
+            self._publish()
+        self._choose_reading()
+        if self._reading and self._confirmed_at_ms is not None:
+            self._tell_progress(now_ms)
+
+    def _choose_reading(self) -> None:
+        """Watch the store if this host is a reader or lacks one."""
+        if self._tasks is None:
+            return
+        now_ms = self._time.now_ms()
+        reads = self._readers.is_reader(now_ms) or self._age_ms() > STALE_MS
+        if reads != self._reading:
+            self._reading = reads
+            log.info(
+                'store reading changed',
+                extra={'reads': reads, 'view_age_ms': self._age_ms()},
+            )
+        retry_ms = OTHER_RETRY_MS
+        if self._readers.is_first_choice() or not self._is_ready():
+            retry_ms = READER_RETRY_MS
+        self._tasks.follower.tell(messages.FollowStore(reads, retry_ms))
+
+    def _age_ms(self) -> int:
+        if self._confirmed_at_ms is None:
+            return STALE_MS + 1
+        return self._time.now_ms() - self._confirmed_at_ms
+
+    def _tell_progress(self, now_ms: int) -> None:
+        self._tell_peers(
+            protocol.StoreProgress(
+                self._settings.name, self._knowledge.revision, self._age_ms()
+            )
+        )
+
+    def _take(
+        self, sender: address.Address, received: protocol.AnyMessage
+    ) -> None:
+        now_ms = self._time.now_ms()
+        match received:
+            case protocol.StoreProgress(host, revision, age_ms):
+                self._readers.note_heard(host, age_ms, now_ms)
+                self._take_progress(sender, revision, age_ms, now_ms)
+            case protocol.StoreChanges(_, after_revision, revision, entries):
+                events = tuple(_event(entry) for entry in entries)
+                if after_revision <= self._knowledge.revision:
+                    self._apply(events, revision)
+                else:
+                    self._ask_changes(sender, now_ms)
+            case protocol.StoreChangesRequest(_, after_revision):
+                self._send_changes(sender, after_revision)
+            case protocol.ServerFailed(host, server_id, born_ms, reason):
+                if self._tasks is not None:
+                    self._tasks.dispatcher.tell(
+                        messages.PeerSawFailure(
+                            (server_id, born_ms), host, reason
+                        )
+                    )
+            case _:
+                log.warning(
+                    'unexpected message',
+                    extra={'kind': type(received).__name__},
+                )
+
+    def _take_progress(
+        self,
+        sender: address.Address,
+        revision: int,
+        age_ms: int,
+        now_ms: int,
+    ) -> None:
+        if self._knowledge.is_empty:
+            return
+        if revision > self._knowledge.revision:
+            self._ask_changes(sender, now_ms)
+        elif revision == self._knowledge.revision:
+            self._confirm(now_ms - age_ms)
+
+    def _ask_changes(self, sender: address.Address, now_ms: int) -> None:
+        if self._knowledge.is_empty or self._asked_at_ms == now_ms:
+            return
+        self._asked_at_ms = now_ms
+        self._datagrams.command(
+            datagrams.SendTo(
+                (sender,),
+                protocol.StoreChangesRequest(
+                    self._settings.name, self._knowledge.revision
+                ),
+            )
+        )
+
+    def _send_changes(self, to: address.Address, after_revision: int) -> None:
+        if after_revision < self._changes_after:
+            return
+        entries = tuple(
+            entry for entry in self._changes if entry.revision > after_revision
+        )
+        self._datagrams.command(
+            datagrams.SendTo(
+                (to,),
+                protocol.StoreChanges(
+                    self._settings.name,
+                    after_revision,
+                    self._knowledge.revision,
+                    entries,
+                ),
+            )
+        )
+
+    def _take_read(self, read: messages.StoreRead) -> None:
+        now_ms = self._time.now_ms()
+        self._note_store_answered(now_ms)
+        self._knowledge.replace(read.items, read.revision, now_ms)
+        self._changes.clear()
+        self._changes_after = self._knowledge.revision
+        self._confirm(now_ms)
+        self._publish()
+
+    def _take_changes(
+        self,
+        after_revision: int,
+        events: tuple[store.Event, ...],
+        revision: int,
+    ) -> None:
+        now_ms = self._time.now_ms()
+        self._note_store_answered(now_ms)
+        known = self._knowledge.revision
+        if after_revision > known:
+            log.warning(
+                'store changes skip ahead',
+                extra={'known': known, 'after': after_revision},
+            )
+            return
+        if self._apply(events, revision):
+            self._tell_peers(
+                protocol.StoreChanges(
+                    self._settings.name,
+                    after_revision,
+                    revision,
+                    tuple(_entry(event) for event in events),
+                )
+            )
+        self._confirm(now_ms)
+
+    def _apply(self, events: tuple[store.Event, ...], revision: int) -> bool:
+        """Take over changes; return whether there was any news."""
+        if self._knowledge.is_empty or revision <= self._knowledge.revision:
+            return False
+        known = self._knowledge.revision
+        now_ms = self._time.now_ms()
+        fresh = [event for event in events if event.revision > known]
+        for event in fresh:
+            self._knowledge.apply(event, now_ms)
+        if len(self._changes) + len(fresh) > KEPT_CHANGES:
+            dropped = list(self._changes)[: len(fresh)]
+            self._changes_after = max(
+                [self._changes_after, *(d.revision for d in dropped)]
+            )
+        self._changes.extend(_entry(event) for event in fresh)
+        self._knowledge.revision = revision
+        if self._tasks is not None:
+            self._tasks.follower.tell(messages.SetRevision(revision))
+        if fresh:
+            self._publish()
+        return bool(fresh)
+
+    def _confirm(self, at_ms: int) -> None:
+        self._confirmed_at_ms = max(self._confirmed_at_ms or 0, at_ms)
+
+    def _note_store_failed(self, reason: str) -> None:
+        if not self._store_away:
+            self._store_away = True
+            log.warning(
+                'store lost',
+                extra={'reason': reason, 'view_age_ms': self._age_ms()},
+            )
+
+    def _note_store_answered(self, now_ms: int) -> None:
+        if self._store_away or self._age_ms() > STALE_MS:
+            self._store_away = False
+            self._knowledge.note_store_returned(now_ms)
+            log.info('store regained', extra={'view_age_ms': self._age_ms()})
+
+    def _publish(self) -> None:
+        """Hand what is new to the other tasks."""
+        hosts = self._knowledge.hosts()
+        self._readers.note_hosts(host.name for host in hosts)
+        if self._tasks is None:
+            return
+        table = self._knowledge.take_new_routes()
+        if table is not None:
+            log.info(
+                'configuration in force',
+                extra={
+                    'version': table.version,
+                    'revision': self._knowledge.revision,
+                },
+            )
+            self._tasks.dispatcher.tell(messages.RoutesInForce(table))
+        self._tasks.dispatcher.tell(
+            messages.ServersInForce(
+                self._knowledge.servers(), max(1, len(hosts))
+            )
+        )
+        if self._stopping:
+            return
+        if self._is_ready():
+            self._tasks.registrar.tell(messages.Register())
+        if self._knowledge.lost_host(self._settings.name):
+            self._tasks.registrar.tell(messages.RegistrationLost())
+
+    def _is_ready(self) -> bool:
+        return self._knowledge.is_complete and not self._stopping
+
+    def _find_addresses(self, data_centre: str) -> messages.Addresses:
+        hosts = list(self._knowledge.hosts())
+        if self._is_ready() and all(
+            host.name != self._settings.name for host in hosts
+        ):
+            hosts.append(self._host)
+        if self._stopping and len(hosts) > 1:
+            hosts = [h for h in hosts if h.name != self._settings.name]
+        near = [h.callers for h in hosts if h.data_centre == data_centre]
+        if len(near) < MIN_LOCAL_HOSTS:
+            near = [h.callers for h in hosts]
+        self._random.shuffle(near)
+        return messages.Addresses(
+            tuple(near[:MAX_ADDRESSES]),
+            min(KEEP_FOR_MS, self._settings.bounds.max_keep_for_ms),
+        )
+
+    def _warn_peers(self, server: tuple[str, int], reason: str) -> None:
+        server_id, born_ms = server
+        self._tell_peers(
+            protocol.ServerFailed(
+                self._settings.name, server_id, born_ms, reason
+            )
+        )
+
+    def _tell_peers(self, message: protocol.AnyMessage) -> None:
+        peers = tuple(
+            host.peers
+            for host in self._knowledge.hosts()
+            if host.name != self._settings.name
+        )
+        if peers:
+            self._datagrams.command(datagrams.SendTo(peers, message))
+
+
+def _entry(event: store.Event) -> protocol.StoreEntry:
+    match event:
+        case store.Item(key, value, revision):
+            return protocol.StoreEntry(key, value, revision)
+        case store.Removal(key, revision):
+            return protocol.StoreEntry(key, None, revision)
+
+
+def _event(entry: protocol.StoreEntry) -> store.Event:
+    if entry.value is None:
+        return store.Removal(entry.key, entry.revision)
+    return store.Item(entry.key, entry.value, entry.revision)
--- /dev/null
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -0,0 +1,426 @@
+"""Actor that assigns backend servers to requests."""
+
+import collections
+import dataclasses
+import logging
+import random
+from typing import Any
+
+import pykka
+
+from cardamomdeal.backend import connection
+from cardamomdeal.backend import idle
+from cardamomdeal.balancing import avoidance
+from cardamomdeal.balancing import budget
+from cardamomdeal.balancing import outcomes
+from cardamomdeal.balancing import placement
+from cardamomdeal.entry import messages
+from cardamomdeal.fleet import model
+from cardamomdeal.fleet import routes
+from cardamomdeal.internal import actor
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import ticker
+from cardamomdeal.settings import model as settings_model
+
+TICK_MS = 1_000
+# A server that could not be reached from here is left alone this long;
+# others may reach it, so they are not warned.
+UNREACHABLE_MS = 2_000
+# A server that refused work has a full queue: long enough for one request
+# of ordinary length to end.
+FULL_MS = 250
+# Time that a configuration takes to arrive at a host that has just started.
+NO_CONFIGURATION_RETRY_MS = 300
+# Servers come and go within about this long.
+NO_SERVER_RETRY_MS = 500
+# A server cannot do anything useful with less.
+MIN_USEFUL_MS = 20
+# Attempts that never reached a server are free, but not endless.
+MAX_UNSENT_ATTEMPTS = 6
+DEFAULT_DEADLINE_MS = 30_000
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class _View:
+    """Track one backend server from this host."""
+
+    server: model.BackendServer
+    seen_at_ms: int
+    in_flight: int = 0
+    load: outcomes.Load | None = None
+    load_at_ms: int = 0
+    closed_until_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Request:
+    """Track one request from its admission to its end."""
+
+    request_id: str
+    route: model.Route
+    service: str
+    ends_at_ms: int
+    view: _View
+    tried: set[tuple[str, int]]
+    sent_attempts: int = 1
+    unsent_attempts: int = 0
+
+
+class Dispatcher(actor.Actor):
+    """Own what is known of the servers and their idle connections."""
+
+    def __init__(
+        self,
+        settings: settings_model.EntrySettings,
+        core: pykka.ActorRef[Any],
+        time: clock.Clock,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._core = core
+        self._time = time
+        self._random = random.Random()
+        self._routes: routes.RouteTable | None = None
+        self._views: dict[tuple[str, int], _View] = {}
+        self._by_service: dict[str, list[_View]] = {}
+        self._hosts = 1
+        self._avoidance = avoidance.Avoidance(self._random)
+        self._budgets: dict[str, budget.RepeatBudget] = (
+            collections.defaultdict(
+                lambda: budget.RepeatBudget(settings.bounds)
+            )
+        )
+        self._idle: idle.IdleConnections[tuple[str, int]] = (
+            idle.IdleConnections()
+        )
+        self._requests: dict[int, _Request] = {}
+        self._next_ticket = 1
+        self._counters: collections.Counter[str] = collections.Counter()
+
+    def on_start(self) -> None:
+        """Begin to drop stale connections."""
+        self._ticker = ticker.Ticker(self.actor_ref, messages.Tick(), TICK_MS)
+        self._ticker.start()
+
+    def on_stop(self) -> None:
+        """Close every idle connection."""
+        self._ticker.stop()
+        self._idle.drop_all()
+
+    def receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case messages.Admit():
+                return self._admit(message)
+            case messages.Retry(ticket, result):
+                return self._retry(ticket, result)
+            case messages.Finished(ticket, result, used):
+                self._finish(ticket, result, used)
+            case messages.RoutesInForce(table):
+                self._routes = table
+            case messages.ServersInForce(servers, hosts):
+                self._use_servers(servers, hosts)
+            case messages.PeerSawFailure(server, host, reason):
+                self._take_peer_failure(server, host, reason)
+            case messages.Tick():
+                self._idle.drop_stale(self._time.now_ms())
+            case messages.TakeMetrics():
+                return dict(self._counters)
+        return None
+
+    def _admit(self, admit: messages.Admit) -> messages.Decision:
+        if self._routes is None:
+            return self._reject(
+                admit, 503, 'no configuration yet', NO_CONFIGURATION_RETRY_MS
+            )
+        route = self._routes.find(admit.hostname, admit.path)
+        if route is None:
+            return self._reject(admit, 404, 'no route for this path')
+        now_ms = self._time.now_ms()
+        ends_at_ms = _ends_at_ms(route, admit)
+        if ends_at_ms - now_ms < MIN_USEFUL_MS:
+            return self._reject(admit, 503, 'no time is left', 0)
+        service = routes.choose_service(route, self._random)
+        self._budgets[service].note_request(now_ms)
+        view = self._choose(admit.request_id, service, frozenset(), now_ms)
+        if view is None:
+            return self._reject(
+                admit, 503, f'{service} has no server', NO_SERVER_RETRY_MS
+            )
+        ticket = self._next_ticket
+        self._next_ticket += 1
+        request = _Request(
+            admit.request_id,
+            route,
+            service,
+            ends_at_ms,
+            view,
+            {view.server.incarnation},
+        )
+        self._requests[ticket] = request
+        return self._assign(ticket, request)
+
+    def _reject(
+        self,
+        admit: messages.Admit,
+        status: int,
+        reason: str,
+        retry_after_ms: int | None = None,
+    ) -> messages.Rejected:
+        self._counters[f'rejected.{status}'] += 1
+        log.info(
+            'request rejected',
+            extra={
+                'request_id': admit.request_id,
+                'status': status,
+                'reason': reason,
+                'configuration': self._routes and self._routes.version,
+            },
+        )
+        return messages.Rejected(status, reason, retry_after_ms)
+
+    def _choose(
+        self,
+        request_id: str,
+        service: str,
+        tried: frozenset[tuple[str, int]],
+        now_ms: int,
+    ) -> _View | None:
+        candidates = [
+            self._candidate(view, now_ms)
+            for view in self._by_service.get(service, ())
+            if view.server.incarnation not in tried
+        ]
+        choice = placement.choose(
+            candidates,
+            self._settings.place.data_centre,
+            self._settings.bounds.capacity_floor,
+            now_ms,
+            self._random,
+        )
+        if choice is None:
+            return None
+        chosen = choice.candidate
+        log.info(
+            'request placed',
+            extra={
+                'request_id': request_id,
+                'service': service,
+                'server': chosen.server.server_id,
+                'in_flight': chosen.in_flight,
+                'load': chosen.load and dataclasses.astuple(chosen.load),
+                'load_age_ms': now_ms - chosen.load_at_ms,
+                'avoided': chosen.avoid_until_ms > now_ms,
+                'eligible_servers': choice.eligible,
+                'avoided_servers': choice.avoided,
+            },
+        )
+        return self._views[chosen.server.incarnation]
+
+    def _candidate(self, view: _View, now_ms: int) -> placement.Candidate:
+        key = view.server.incarnation
+        return placement.Candidate(
+            server=view.server,
+            in_flight=view.in_flight,
+            load=view.load,
+            load_at_ms=view.load_at_ms,
+            avoid_until_ms=self._avoidance.until_ms(key),
+            closed_until_ms=view.closed_until_ms,
+            has_idle_connection=self._idle.has(key, now_ms),
+            cold_until_ms=view.seen_at_ms + view.server.cold_remaining_ms,
+        )
+
+    def _assign(self, ticket: int, request: _Request) -> messages.Assigned:
+        view = request.view
+        view.in_flight += 1
+        kept = None
+        match request.route.kind:
+            case model.Idempotent():
+                kept = self._idle.take(
+                    view.server.incarnation, self._time.now_ms()
+                )
+            case model.NonIdempotent() | model.Upload():
+                # A kept connection may have gone silent, and the request
+                # could not be sent again.
+                pass
+        self._counters['attempts'] += 1
+        self._counters['connections_reused'] += kept is not None
+        return messages.Assigned(
+            ticket,
+            request.route,
+            view.server,
+            kept,
+            request.ends_at_ms,
+            request.sent_attempts + request.unsent_attempts,
+        )
+
+    def _retry(
+        self, ticket: int, result: outcomes.AttemptResult
+    ) -> messages.RetryDecision:
+        request = self._requests[ticket]
+        self._note_result(request, result)
+        reason = self._reason_against_retry(request, result)
+        if reason is None:
+            view = self._choose(
+                request.request_id,
+                request.service,
+                frozenset(request.tried),
+                self._time.now_ms(),
+            )
+            if view is not None:
+                request.view = view
+                request.tried.add(view.server.incarnation)
+                self._counters['repeats'] += 1
+                return self._assign(ticket, request)
+            reason = 'no other server'
+        log.info(
+            'request not repeated',
+            extra={
+                'request_id': request.request_id,
+                'attempts': request.sent_attempts,
+                'reason': reason,
+            },
+        )
+        del self._requests[ticket]
+        return messages.NoRetry(reason, FULL_MS)
+
+    def _reason_against_retry(
+        self, request: _Request, result: outcomes.AttemptResult
+    ) -> str | None:
+        now_ms = self._time.now_ms()
+        if request.ends_at_ms - now_ms < MIN_USEFUL_MS:
+            return 'no time is left'
+        match result:
+            case outcomes.NotConnected():
+                # Nothing reached a server, so nothing is repeated.
+                request.unsent_attempts += 1
+                if request.unsent_attempts >= MAX_UNSENT_ATTEMPTS:
+                    return 'no server could be reached'
+                return None
+            case _ if outcomes.may_have_run(result):
+                match request.route.kind:
+                    case model.NonIdempotent() | model.Upload():
+                        return 'it may have run'
+        if request.sent_attempts >= request.route.max_attempts:
+            return 'no attempts are left'
+        if not self._budgets[request.service].take(now_ms, self._hosts):
+            return 'no repeats are left in the budget'
+        request.sent_attempts += 1
+        return None
+
+    def _finish(
+        self,
+        ticket: int,
+        result: outcomes.AttemptResult,
+        used: connection.BackendConnection | None,
+    ) -> None:
+        request = self._requests.pop(ticket)
+        self._note_result(request, result)
+        key = request.view.server.incarnation
+        if used is None:
+            return
+        if key in self._views:
+            self._idle.put(key, used, self._time.now_ms())
+        else:
+            used.close()
+
+    def _note_result(
+        self, request: _Request, result: outcomes.AttemptResult
+    ) -> None:
+        """Take in what an attempt showed of its server."""
+        now_ms = self._time.now_ms()
+        view = request.view
+        view.in_flight -= 1
+        self._counters[f'results.{type(result).__name__}'] += 1
+        match result:
+            case outcomes.Answered(_, _, load):
+                _note_load(view, load, now_ms)
+            case outcomes.NotExecuted(_, load):
+                _note_load(view, load, now_ms)
+                view.closed_until_ms = now_ms + FULL_MS
+            case outcomes.NotConnected():
+                view.closed_until_ms = now_ms + UNREACHABLE_MS
+            case outcomes.AnotherServer():
+                view.closed_until_ms = now_ms + UNREACHABLE_MS
+        key = view.server.incarnation
+        if outcomes.is_failure(result):
+            self._avoidance.note_failure(key, now_ms)
+            self._core.tell(messages.SawFailure(key, _reason(result)))
+            log.info(
+                'server avoided',
+                extra={
+                    'request_id': request.request_id,
+                    'server': key[0],
+                    'reason': _reason(result),
+                    'for_ms': self._avoidance.until_ms(key) - now_ms,
+                },
+            )
+        elif isinstance(result, outcomes.Answered):
+            self._avoidance.note_success(key)
+
+    def _take_peer_failure(
+        self, server: tuple[str, int], host: str, reason: str
+    ) -> None:
+        if server not in self._views:
+            return
+        now_ms = self._time.now_ms()
+        self._avoidance.note_failure(server, now_ms)
+        log.info(
+            'server avoided',
+            extra={
+                'server': server[0],
+                'seen_by': host,
+                'reason': reason,
+                'for_ms': self._avoidance.until_ms(server) - now_ms,
+            },
+        )
+
+    def _use_servers(
+        self, servers: tuple[model.BackendServer, ...], hosts: int
+    ) -> None:
+        now_ms = self._time.now_ms()
+        self._hosts = hosts
+        previous = self._views
+        self._views = {}
+        self._by_service = {}
+        for server in servers:
+            view = previous.get(server.incarnation) or _View(server, now_ms)
+            if view.server != server:
+                view.server = server
+                view.seen_at_ms = now_ms
+            if server.state is model.ServerState.READY:
+                self._views[server.incarnation] = view
+                self._by_service.setdefault(server.service, []).append(view)
+        for key in self._idle.servers():
+            if key not in self._views:
+                self._idle.drop(key)
+        self._avoidance.forget_except(self._views.keys())
+
+
+def _ends_at_ms(route: model.Route, admit: messages.Admit) -> int:
+    limits = [
+        limit
+        for limit in (route.timeout_ms, admit.deadline_ms)
+        if limit is not None
+    ]
+    return admit.arrived_at_ms + min(limits, default=DEFAULT_DEADLINE_MS)
+
+
+def _note_load(view: _View, load: outcomes.Load | None, now_ms: int) -> None:
+    if load is not None:
+        view.load = load
+        view.load_at_ms = now_ms
+
+
+def _reason(result: outcomes.AttemptResult) -> str:
+    match result:
+        case outcomes.Answered(status):
+            return f'status {status}'
+        case outcomes.Broken(_, reason):
+            return reason
+        case outcomes.TimedOut(latency_ms):
+            return f'no answer after {latency_ms} ms'
+        case _:
+            return type(result).__name__
--- /dev/null
+++ b/src/cardamomdeal/entry/main.py
@@ -0,0 +1,113 @@
+"""Program of an entry host."""
+
+import logging
+import sys
+import threading
+from typing import Any
+
+from cheroot import wsgi
+import pykka
+
+from cardamomdeal.entry import core
+from cardamomdeal.entry import dispatcher
+from cardamomdeal.entry import forwarding
+from cardamomdeal.entry import messages
+from cardamomdeal.entry import registrar
+from cardamomdeal.entry import server
+from cardamomdeal.entry import store_follower
+from cardamomdeal.fleet import model
+from cardamomdeal.internal import address
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import process
+from cardamomdeal.internal import serving
+from cardamomdeal.platform import interfaces
+from cardamomdeal.platform import store
+from cardamomdeal.settings import load
+from cardamomdeal.settings import model as settings_model
+from cardamomdeal.telemetry import logs
+
+PROGRAM = 'cardamomdeal-entry'
+STORE_TIMEOUT_MS = 800
+SMALL_SERVER_THREADS = 2
+# Callers keep an address a little longer than they were told; what they
+# still send in this time is served before the listener closes.
+SERVE_ON_SHARE = 0.6
+# Left for ending the process after the last answer.
+EXIT_MARGIN_MS = 400
+
+log = logging.getLogger(__name__)
+
+
+def main() -> None:
+    """Run an entry host from the command line."""
+    path = process.settings_path(PROGRAM, 'Forward requests to servers.')
+    sys.exit(process.run(PROGRAM, lambda: _run(load.load_entry(path))))
+
+
+def _run(settings: settings_model.EntrySettings) -> None:
+    logs.configure(settings.name, settings.place, settings.telemetry.log_level)
+    stop = process.stop_event()
+    time = clock.Clock()
+    started_ms = time.wall_ms()
+    host = model.EntryHost(
+        settings.name,
+        started_ms,
+        settings.place.region,
+        settings.place.data_centre,
+        settings.callers,
+        settings.peers,
+    )
+    knowing = core.Core.start(settings, host, time)
+    dispatching = dispatcher.Dispatcher.start(settings, knowing, time)
+    following = store_follower.StoreFollower.start(
+        knowing, store.StoreClient(settings.store, STORE_TIMEOUT_MS)
+    )
+    registering = registrar.Registrar.start(
+        host, store.StoreClient(settings.store, STORE_TIMEOUT_MS)
+    )
+    application = server.Application(
+        forwarding.Forwarder(dispatching, time), time
+    )
+    callers = serving.ServerTask(server.build_server(settings, application))
+    others = (
+        _small_server(settings.readiness, interfaces.Readiness(knowing)),
+        _small_server(settings.directory, interfaces.Directory(knowing)),
+    )
+    for task in (callers, *others):
+        task.start()
+    knowing.tell(messages.TasksStarted(dispatching, following, registering))
+    log.info('started', extra={'settings': str(settings)})
+    stop.wait()
+    log.info('stopping')
+    registering.tell(messages.Unregister())
+    knowing.tell(messages.StopSoon())
+    _serve_on(settings, application, callers)
+    log.info('stopped')
+    pykka.ActorRegistry.stop_all(block=False)
+    sys.stdout.flush()
+
+
+def _small_server(at: address.Address, application: Any) -> Any:
+    return serving.ServerTask(
+        wsgi.Server(
+            (at.host, at.port),
+            application,
+            numthreads=SMALL_SERVER_THREADS,
+            max=SMALL_SERVER_THREADS,
+        )
+    )
+
+
+def _serve_on(
+    settings: settings_model.EntrySettings,
+    application: server.Application,
+    callers: serving.ServerTask,
+) -> None:
+    """Serve callers that still hold this address, then end."""
+    application.leave()
+    grace_ms = settings.bounds.stop_grace_ms - EXIT_MARGIN_MS
+    serve_on_ms = round(grace_ms * SERVE_ON_SHARE)
+    clock.wait_ms(threading.Event(), serve_on_ms)
+    ending = threading.Thread(target=callers.finish, daemon=True)
+    ending.start()
+    ending.join((grace_ms - serve_on_ms) / 1000)
--- /dev/null
+++ b/src/cardamomdeal/entry/server.py
@@ -0,0 +1,142 @@
+"""HTTP server towards callers."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+import queue
+import threading
+from typing import Any
+
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+
+from cardamomdeal.backend import errors as backend_errors
+from cardamomdeal.entry import caller
+from cardamomdeal.entry import errors
+from cardamomdeal.entry import forwarding
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import refusals
+from cardamomdeal.settings import model
+
+# An entry host sees a few requests a second, each a second long at worst;
+# this carries the load of five hosts that are gone.
+THREADS = 64
+QUEUED_CONNECTIONS = 256
+QUEUE_TIMEOUT_S = 0.05
+# The operators' limits stand in their configuration; until it is known
+# and for the bytes of a head, these hold.
+MAX_HEADER_BYTES = 64 * 1024
+MAX_BODY_BYTES = 64 * 1024**2
+# Longer than callers reuse an idle connection.
+IDLE_TIMEOUT_S = 20.0
+MAX_IDLE_CONNECTIONS = 3_000
+
+log = logging.getLogger(__name__)
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Application:
+    """Turn WSGI calls into forwarded requests."""
+
+    def __init__(
+        self, forwarder: forwarding.Forwarder, time: clock.Clock
+    ) -> None:
+        self._forwarder = forwarder
+        self._time = time
+        self._leaving = threading.Event()
+
+    def leave(self) -> None:
+        """Ask callers to close their connections from now on."""
+        self._leaving.set()
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        reply = self._serve(environ)
+        headers = list(reply.headers)
+        if self._leaving.is_set():
+            headers.append(('Connection', 'close'))
+        start_response(reply.status_line, headers)
+        return [reply.body]
+
+    def _serve(self, environ: dict[str, Any]) -> caller.Reply:
+        arrived_at_ms = self._time.now_ms()
+        request_id = ''
+        try:
+            request = caller.read_request(environ, MAX_BODY_BYTES)
+            request_id = request.request_id
+            return self._forwarder.serve(request, arrived_at_ms)
+        except (errors.MalformedRequest, backend_errors.RequestBodyLost) as e:
+            return caller.failure(400, str(e), request_id)
+        except errors.BodyTooLarge as error:
+            return caller.failure(413, str(error), request_id)
+        except Exception:
+            log.exception('request failed', extra={'request_id': request_id})
+            return caller.failure(500, 'internal error', request_id)
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Hand the caller's socket to the application."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[caller.ENVIRON_SOCKET] = self.req.conn.socket
+        return environ
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    """Remember whether the connection has been waited on."""
+
+    waited = False
+
+
+class CallerServer(wsgi.Server):
+    """Give threads to connections that have sent something only."""
+
+    ConnectionClass = _Connection
+
+    def prepare(self) -> None:
+        """Listen and start the threads."""
+        super().prepare()
+        self._refusals = refusals.RefusalTask((('Retry-After', '0.5'),))
+        self._refusals.start()
+
+    def process_conn(self, conn: _Connection) -> None:
+        """Queue a connection that has a request, or refuse it."""
+        if not conn.waited:
+            # A caller that connects and sends nothing would hold a thread.
+            conn.waited = True
+            self.put_conn(conn)
+            return
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            self._refusals.refuse(conn)
+
+    def stop(self) -> None:
+        """Stop listening and let requests in flight end."""
+        super().stop()
+        self._refusals.stop()
+
+
+def build_server(
+    settings: model.EntrySettings, application: Application
+) -> CallerServer:
+    """Build the server that runs the application; it is not started."""
+    built = CallerServer(
+        (settings.callers.host, settings.callers.port),
+        application,
+        numthreads=THREADS,
+        max=THREADS,
+        request_queue_size=QUEUED_CONNECTIONS,
+        timeout=IDLE_TIMEOUT_S,
+        shutdown_timeout=settings.bounds.stop_grace_ms / 1000,
+        accepted_queue_size=QUEUED_CONNECTIONS,
+        accepted_queue_timeout=QUEUE_TIMEOUT_S,
+    )
+    built.gateway = _Gateway
+    built.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+    built.max_request_header_size = MAX_HEADER_BYTES
+    built.server_name = 'cardamomdeal'
+    return built
--- /dev/null
+++ b/src/cardamomdeal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What an entry host knows: configuration, backend servers, peers."""
--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from cardamomdeal.backend import connection
+from cardamomdeal.backend import idle
 from cardamomdeal.document import model
 from cardamomdeal.gateway import evidence
-from cardamomdeal.gateway import idle
 from cardamomdeal.gateway import messages
 from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
--- a/src/cardamomdeal/gateway/server.py
+++ b/src/cardamomdeal/gateway/server.py
@@ -14,7 +14,7 @@
 from cardamomdeal.gateway import caller
 from cardamomdeal.gateway import errors
 from cardamomdeal.gateway import forwarding
-from cardamomdeal.gateway import refusals
+from cardamomdeal.internal import refusals
 from cardamomdeal.routing import outcomes
 from cardamomdeal.settings import model
 
@@ -113,7 +113,12 @@
     def prepare(self) -> None:
         """Listen and start the threads."""
         super().prepare()
-        self._refusals = refusals.RefusalTask()
+        self._refusals = refusals.RefusalTask(
+            (
+                (caller.OUTCOME, outcomes.Outcome.NOT_RUN.value),
+                ('Retry-After', '1'),
+            )
+        )
         self._refusals.start()
 
     def process_conn(self, conn: cheroot_server.HTTPConnection) -> None:
--- /dev/null
+++ b/src/cardamomdeal/platform/interfaces.py
@@ -0,0 +1,71 @@
+"""Interfaces of an entry host that the platform and callers ask."""
+
+from typing import Any
+
+import pykka
+
+from cardamomdeal.entry import messages
+from cardamomdeal.internal import http_json
+from cardamomdeal.platform import wire
+
+# The core answers at once; longer means that the process is starved.
+ASK_TIMEOUT_S = 0.8
+
+
+class Readiness:
+    """Answer whether this host can serve."""
+
+    def __init__(self, core: pykka.ActorRef[Any]) -> None:
+        self._core = core
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: http_json.StartResponse,
+    ) -> list[bytes]:
+        """Serve one request."""
+        request = http_json.read(environ)
+        return http_json.send(self._serve(request), start_response)
+
+    def _serve(self, request: http_json.JsonRequest) -> http_json.JsonReply:
+        if request.path != wire.READY_PATH:
+            return http_json.JsonReply(404, {'error': 'no such path'})
+        try:
+            ready = self._core.ask(messages.IsReady(), timeout=ASK_TIMEOUT_S)
+        except pykka.Timeout:
+            ready = False
+        return http_json.JsonReply(200 if ready else 503, {'ready': ready})
+
+
+class Directory:
+    """Answer which addresses callers are to use."""
+
+    def __init__(self, core: pykka.ActorRef[Any]) -> None:
+        self._core = core
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: http_json.StartResponse,
+    ) -> list[bytes]:
+        """Serve one request."""
+        request = http_json.read(environ)
+        return http_json.send(self._serve(request), start_response)
+
+    def _serve(self, request: http_json.JsonRequest) -> http_json.JsonReply:
+        if request.path != wire.RESOLVE_PATH:
+            return http_json.JsonReply(404, {'error': 'no such path'})
+        find = messages.FindAddresses(request.query.get('zone', ''))
+        try:
+            found = self._core.ask(find, timeout=ASK_TIMEOUT_S)
+        except pykka.Timeout:
+            return http_json.JsonReply(503, {'error': 'overloaded'})
+        if not found.addresses:
+            return http_json.JsonReply(503, {'error': 'no host is ready'})
+        return http_json.JsonReply(
+            200,
+            {
+                'addresses': [str(address) for address in found.addresses],
+                'ttl': f'{found.keep_for_ms}ms',
+            },
+        )
--- /dev/null
+++ b/src/cardamomdeal/platform/wire.py
@@ -0,0 +1,17 @@
+"""Names that the platform's protocol gives to headers, paths and keys."""
+
+REQUEST_ID = 'Cardamomdeal-Request-Id'
+DEADLINE_MS = 'Cardamomdeal-Deadline-Ms'
+# Set by a backend server on its own answers; proves whose answer it is.
+SIGNATURE = 'Cardamomdeal-Response-Signature'
+EXPECTED_SERVER = 'Cardamomdeal-Expect-Instance'
+SERVER_LOAD = 'Cardamomdeal-Server-Load'
+NOT_EXECUTED = 'Cardamomdeal-Not-Executed'
+SERVER_ID = 'Cardamomdeal-Instance-Id'
+
+READY_PATH = '/cardamomdeal/ready'
+RESOLVE_PATH = '/cardamomdeal/resolve'
+
+CONFIGURATION_KEY = 'op/config'
+SERVERS_PREFIX = 'servers/'
+ENTRY_HOSTS_PREFIX = 'hosts/'
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -230,6 +230,47 @@
     request_id: str
 
 
+class StoreEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one key of the store; no value means that it was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class StoreProgress(Message, frozen=True):
+    """Tell how far a host has read the store, and how long ago."""
+
+    host: str
+    revision: int
+    age_ms: int
+
+
+class StoreChanges(Message, frozen=True):
+    """Carry what changed in the store between two revisions."""
+
+    host: str
+    after_revision: int
+    revision: int
+    entries: tuple[StoreEntry, ...]
+
+
+class StoreChangesRequest(Message, frozen=True):
+    """Ask a host that read further for what changed since a revision."""
+
+    host: str
+    after_revision: int
+
+
+class ServerFailed(Message, frozen=True):
+    """Warn of a backend server that failed a request just now."""
+
+    host: str
+    server_id: str
+    born_ms: int
+    reason: str
+
+
 AnyMessage = (
     GatewayReport
     | ServerStates
@@ -251,4 +292,8 @@
     | HistogramReply
     | DrainHost
     | Done
+    | StoreProgress
+    | StoreChanges
+    | StoreChangesRequest
+    | ServerFailed
 )
--- a/src/cardamomdeal/settings/load.py
+++ b/src/cardamomdeal/settings/load.py
@@ -21,6 +21,8 @@
     model.AdminSettings,
 )
 
+Schema = TypeVar('Schema', bound=pydantic.BaseModel)
+
 
 def load_gateway(path: str) -> model.GatewaySettings:
     """Read gateway settings; raise SettingsError."""
@@ -42,6 +44,35 @@
     return _settings(path, schema.AdminModel, model.AdminSettings)
 
 
+def load_entry(path: str) -> model.EntrySettings:
+    """Read the settings of an entry host; raise SettingsError."""
+    checked = _load(path, schema.EntryModel)
+    return model.EntrySettings(
+        name=checked.host,
+        place=model.Place(checked.host, checked.region, checked.data_centre),
+        telemetry=model.Telemetry(checked.statsd, checked.log_level),
+        callers=checked.callers,
+        readiness=checked.readiness,
+        directory=checked.directory,
+        peers=checked.peers,
+        metrics=checked.metrics,
+        store=checked.store,
+        bounds=_bounds(checked.bounds),
+    )
+
+
+def _bounds(checked: schema.BoundsModel) -> model.Bounds:
+    return model.Bounds(
+        drain_ms=checked.drain,
+        stop_grace_ms=checked.stop_grace,
+        max_keep_for_ms=checked.max_keep_for,
+        repeat_ratio=checked.repeat_ratio,
+        repeat_window_ms=checked.repeat_window,
+        repeat_slack=checked.repeat_slack,
+        capacity_floor=checked.capacity_floor,
+    )
+
+
 def _settings(
     path: str,
     schema_class: type[schema.ProcessModel],
@@ -61,9 +92,7 @@
     return settings_class(**values)
 
 
-def _load(
-    path: str, schema_class: type[schema.ProcessModel]
-) -> schema.ProcessModel:
+def _load(path: str, schema_class: type[Schema]) -> Schema:
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -87,3 +87,38 @@
     agents: dict[str, address.Address]
     platform: address.Address
     store_timeout_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold what the platform asks of the fleet as a whole."""
+
+    # Time within which a leaving server gets no more work.
+    drain_ms: int
+    # Time from SIGTERM to SIGKILL.
+    stop_grace_ms: int
+    # Callers keep a directory's answer for no longer than this.
+    max_keep_for_ms: int
+    # Repeats allowed for each request, over a sliding window, and the
+    # repeats that are allowed beyond that share; both for all hosts.
+    repeat_ratio: float
+    repeat_window_ms: int
+    repeat_slack: float
+    # Share of a service's sound servers that must stay in use.
+    capacity_floor: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Configure the program of an entry host."""
+
+    name: str
+    place: Place
+    telemetry: Telemetry
+    callers: address.Address
+    readiness: address.Address
+    directory: address.Address
+    peers: address.Address
+    metrics: address.Address
+    store: address.Address
+    bounds: Bounds
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from cardamomdeal.internal import address
+from cardamomdeal.internal import units
 
 
 def _parse(value: object) -> address.Address:
@@ -86,3 +87,38 @@
     agents: dict[Literal['trial', 'production'], Address]
     platform: Address
     store_timeout_ms: Positive = 5_000
+
+
+class BoundsModel(pydantic.BaseModel):
+    """Check what the platform asks of the fleet as a whole."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    drain: units.TimeMs
+    stop_grace: units.TimeMs
+    max_keep_for: units.TimeMs
+    repeat_ratio: Annotated[float, pydantic.Field(ge=0)]
+    repeat_window: units.TimeMs
+    repeat_slack: Annotated[float, pydantic.Field(ge=0)]
+    capacity_floor: Annotated[float, pydantic.Field(ge=0, le=1)]
+
+
+class EntryModel(pydantic.BaseModel):
+    """Check the settings of an entry host's program."""
+
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, arbitrary_types_allowed=True
+    )
+
+    host: str
+    region: str
+    data_centre: str
+    callers: Address
+    readiness: Address
+    directory: Address
+    peers: Address
+    metrics: Address
+    store: Address
+    bounds: BoundsModel
+    statsd: Address | None = None
+    log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
