Avoid failing servers in two stages and share recoveries

Cause: with the full floor nearly a third of the servers that failed were kept in use, and each failure was forgotten after a few seconds, so every episode cost several requests. Change: a first failure pauses a server for a moment, a second one for seconds; a success at any host ends the suspicion everywhere; the floor is relaxed while nearly everything is served.

--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -93,6 +93,12 @@
                 self._note_store_failed(reason)
             case messages.SawFailure(server, reason):
                 self._warn_peers(server, reason)
+            case messages.SawRecovery((server_id, born_ms)):
+                self._tell_peers(
+                    protocol.ServerRecovered(
+                        self._settings.name, server_id, born_ms
+                    )
+                )
             case messages.FindAddresses(data_centre):
                 return self._find_addresses(data_centre)
             case messages.IsReady():
@@ -164,6 +170,11 @@
                             (server_id, born_ms), host, reason
                         )
                     )
+            case protocol.ServerRecovered(host, server_id, born_ms):
+                if self._tasks is not None:
+                    self._tasks.dispatcher.tell(
+                        messages.PeerSawRecovery((server_id, born_ms), host)
+                    )
             case _:
                 log.warning(
                     'unexpected message',
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -12,6 +12,7 @@
 from cardamomdeal.backend import idle
 from cardamomdeal.balancing import avoidance
 from cardamomdeal.balancing import budget
+from cardamomdeal.balancing import floor
 from cardamomdeal.balancing import outcomes
 from cardamomdeal.balancing import placement
 from cardamomdeal.entry import messages
@@ -92,6 +93,9 @@
                 lambda: budget.RepeatBudget(settings.bounds)
             )
         )
+        self._floors: dict[str, floor.CapacityFloor] = collections.defaultdict(
+            lambda: floor.CapacityFloor(settings.bounds.capacity_floor)
+        )
         self._idle: idle.IdleConnections[tuple[str, int]] = (
             idle.IdleConnections()
         )
@@ -124,6 +128,8 @@
                 self._use_servers(servers, hosts)
             case messages.PeerSawFailure(server, host, reason):
                 self._take_peer_failure(server, host, reason)
+            case messages.PeerSawRecovery(server, host):
+                self._take_peer_recovery(server, host)
             case messages.Tick():
                 self._idle.drop_stale(self._time.now_ms())
             case messages.TakeMetrics():
@@ -144,6 +150,7 @@
             return self._reject(admit, 503, 'no time is left', 0)
         service = routes.choose_service(route, self._random)
         self._budgets[service].note_request(now_ms)
+        self._floors[service].note_request(now_ms)
         view = self._choose(admit.request_id, service, frozenset(), now_ms)
         if view is None:
             return self._reject(
@@ -196,7 +203,7 @@
         choice = placement.choose(
             candidates,
             self._settings.place.data_centre,
-            self._settings.bounds.capacity_floor,
+            self._floors[service].share(self._hosts, now_ms),
             now_ms,
             self._random,
         )
@@ -346,7 +353,8 @@
                 view.closed_until_ms = now_ms + UNREACHABLE_MS
         key = view.server.incarnation
         if outcomes.is_failure(result):
-            self._avoidance.note_failure(key, now_ms)
+            self._floors[request.service].note_unserved(now_ms)
+            noted = self._avoidance.note_failure(key, now_ms)
             self._core.tell(messages.SawFailure(key, _reason(result)))
             log.info(
                 'server avoided',
@@ -354,11 +362,31 @@
                     'request_id': request.request_id,
                     'server': key[0],
                     'reason': _reason(result),
-                    'for_ms': self._avoidance.until_ms(key) - now_ms,
+                    'failures': noted.failures,
+                    'for_ms': noted.until_ms - now_ms,
                 },
             )
         elif isinstance(result, outcomes.Answered):
-            self._avoidance.note_success(key)
+            self._note_success(request, now_ms - result.latency_ms)
+
+    def _note_success(self, request: _Request, started_ms: int) -> None:
+        key = request.view.server.incarnation
+        if self._avoidance.note_success(key, started_ms):
+            self._core.tell(messages.SawRecovery(key))
+            log.info(
+                'server trusted again',
+                extra={
+                    'request_id': request.request_id,
+                    'server': key[0],
+                },
+            )
+
+    def _take_peer_recovery(self, server: tuple[str, int], host: str) -> None:
+        if self._avoidance.note_success(server, self._time.now_ms()):
+            log.info(
+                'server trusted again',
+                extra={'server': server[0], 'seen_by': host},
+            )
 
     def _take_peer_failure(
         self, server: tuple[str, int], host: str, reason: str
@@ -366,14 +394,17 @@
         if server not in self._views:
             return
         now_ms = self._time.now_ms()
-        self._avoidance.note_failure(server, now_ms)
+        service = self._views[server].server.service
+        self._floors[service].note_peer_failure(now_ms)
+        noted = self._avoidance.note_failure(server, now_ms)
         log.info(
             'server avoided',
             extra={
                 'server': server[0],
                 'seen_by': host,
                 'reason': reason,
-                'for_ms': self._avoidance.until_ms(server) - now_ms,
+                'failures': noted.failures,
+                'for_ms': noted.until_ms - now_ms,
             },
         )
 
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -103,6 +103,21 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSawRecovery:
+    """Pass on that a suspected backend server served another host."""
+
+    server: tuple[str, int]
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SawRecovery:
+    """Report that a suspected server works, for the other hosts."""
+
+    server: tuple[str, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowStore:
     """Say whether to watch the store, and how long to pause on errors."""
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -271,6 +271,14 @@
     reason: str
 
 
+class ServerRecovered(Message, frozen=True):
+    """Tell that a suspected backend server served a request just now."""
+
+    host: str
+    server_id: str
+    born_ms: int
+
+
 AnyMessage = (
     GatewayReport
     | ServerStates
@@ -296,4 +304,5 @@
     | StoreChanges
     | StoreChangesRequest
     | ServerFailed
+    | ServerRecovered
 )
