Try avoided servers again by repeatable work, and rarely for the floor

Cause: the floor sent so many requests to failing servers that they made up a third of all failures, and the repeats of all hosts together were over their bound because hosts that had left were not counted.

--- a/src/cardamomdeal/balancing/avoidance.py
+++ b/src/cardamomdeal/balancing/avoidance.py
@@ -21,6 +21,8 @@
     """Hold what speaks against one server."""
 
     failures: int
+    # It gave no answer in time, so trying it again costs a long wait.
+    slow: bool
     failed_at_ms: int
     until_ms: int
 
@@ -37,13 +39,15 @@
         self._random = randomness
         self._suspicions: dict[Incarnation, Suspicion] = {}
 
-    def note_failure(self, server: Incarnation, now_ms: int) -> Suspicion:
+    def note_failure(
+        self, server: Incarnation, slow: bool, now_ms: int
+    ) -> Suspicion:
         """Avoid a server that failed just now, here or elsewhere."""
         known = self._suspicions.get(server)
         failures = known.failures + 1 if known else 1
         quiet_ms = FIRST_QUIET_MS if failures == 1 else REPEATED_QUIET_MS
         pause_ms = quiet_ms + self._random.randrange(RETURN_SPREAD_MS)
-        noted = Suspicion(failures, now_ms, now_ms + pause_ms)
+        noted = Suspicion(failures, slow, now_ms, now_ms + pause_ms)
         self._suspicions[server] = noted
         return noted
 
@@ -59,10 +63,9 @@
         del self._suspicions[server]
         return True
 
-    def until_ms(self, server: Incarnation) -> int:
-        """Return when the server may be tried again; 0 is long ago."""
-        known = self._suspicions.get(server)
-        return known.until_ms if known else 0
+    def suspicion(self, server: Incarnation) -> Suspicion | None:
+        """Return what speaks against a server, if anything does."""
+        return self._suspicions.get(server)
 
     def forget_except(self, servers: abc.Set[Incarnation]) -> None:
         """Drop what is known of servers that are gone."""
--- a/src/cardamomdeal/balancing/placement.py
+++ b/src/cardamomdeal/balancing/placement.py
@@ -2,11 +2,17 @@
 
 from collections.abc import Sequence
 import dataclasses
+import math
 import random
 
+from cardamomdeal.balancing import avoidance
 from cardamomdeal.balancing import outcomes
+from cardamomdeal.balancing import second_chance
 from cardamomdeal.fleet import model
 
+# Share of the reachable servers that are in full use, whatever failed:
+# with fewer, those left would be overloaded.
+LEAST_IN_USE = 0.2
 # A load report says little about a server after this long.
 LOAD_VALID_MS = 1_000
 # Servers compared for one request: enough to miss the busy ones, few
@@ -28,7 +34,8 @@
     in_flight: int
     load: outcomes.Load | None
     load_at_ms: int
-    avoid_until_ms: int
+    # What speaks against the server, if anything does.
+    suspicion: avoidance.Suspicion | None
     # Set while the path from this host, or the server's queue, is shut.
     closed_until_ms: int
     has_idle_connection: bool
@@ -41,45 +48,78 @@
 
     candidate: Candidate
     eligible: int
-    avoided: int
+    servers: int
+    # Chosen although it is avoided, to see whether it works again.
+    second_chance: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """Hold what bears on a choice besides the servers."""
+
+    data_centre: str
+    service: second_chance.Service
+    repeatable: bool
+    now_ms: int
 
 
 def choose(
     candidates: Sequence[Candidate],
-    data_centre: str,
-    capacity_floor: float,
-    now_ms: int,
+    situation: Situation,
     randomness: random.Random,
 ) -> Choice | None:
     """Return a server for one request, or None when there is none."""
     if not candidates:
         return None
-    open_now = [c for c in candidates if c.closed_until_ms <= now_ms]
-    usable = open_now or list(candidates)
-    eligible = _not_avoided(usable, capacity_floor, now_ms)
-    sampled = _sample(eligible, data_centre, randomness)
-    best = min(
-        sampled, key=lambda candidate: _cost(candidate, data_centre, now_ms)
+    now_ms = situation.now_ms
+    reachable = [c for c in candidates if c.closed_until_ms <= now_ms]
+    usable = reachable or list(candidates)
+    eligible, avoided = _divide(usable, now_ms)
+    chances = second_chance.find(
+        [c.suspicion for c in avoided if c.suspicion],
+        len(eligible),
+        situation.service,
+        situation.repeatable,
+        now_ms,
     )
-    return Choice(best, len(eligible), len(usable) - len(eligible))
+    tries_again = randomness.random() < chances.share
+    if tries_again:
+        best = avoided[randomness.choice(chances.places)]
+    else:
+        best = min(
+            _sample(eligible, situation.data_centre, randomness),
+            key=lambda c: _cost(c, situation.data_centre, now_ms),
+        )
+    return Choice(best, len(eligible), len(usable), tries_again)
+
+
+def _divide(
+    usable: list[Candidate], now_ms: int
+) -> tuple[list[Candidate], list[Candidate]]:
+    """Part the servers to use from those to avoid.
+
+    Those that failed longest ago come first among the avoided, since
+    they are the likeliest to work again, and make up for a shortage.
+    """
+    by_failure = sorted(usable, key=_failed_at_ms)
+    least = math.ceil(len(by_failure) * LEAST_IN_USE)
+    eligible = []
+    avoided = []
+    for candidate in by_failure:
+        if _may_use(candidate, now_ms) or len(eligible) < least:
+            eligible.append(candidate)
+        else:
+            avoided.append(candidate)
+    return eligible, avoided
 
 
-def _not_avoided(
-    usable: list[Candidate], capacity_floor: float, now_ms: int
-) -> list[Candidate]:
-    """Return the servers to use, at least the floor's share of them.
+def _failed_at_ms(candidate: Candidate) -> int:
+    return candidate.suspicion.failed_at_ms if candidate.suspicion else 0
 
-    Servers that failed longest ago fill the floor, since they are the
-    likeliest to work again. With every server failing nobody is avoided
-    for long: the floor keeps most of them in use.
-    """
-    by_pause = sorted(usable, key=lambda c: c.avoid_until_ms)
-    wanted = max(1, -(-len(by_pause) * capacity_floor // 1))
-    return [
-        candidate
-        for place, candidate in enumerate(by_pause)
-        if candidate.avoid_until_ms <= now_ms or place < wanted
-    ]
+
+def _may_use(candidate: Candidate, now_ms: int) -> bool:
+    suspicion = candidate.suspicion
+    return suspicion is None or suspicion.until_ms <= now_ms
 
 
 def _sample(
--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -91,8 +91,8 @@
                 self._take_changes(after_revision, events, revision)
             case messages.StoreFailed(reason):
                 self._note_store_failed(reason)
-            case messages.SawFailure(server, reason):
-                self._warn_peers(server, reason)
+            case messages.SawFailure():
+                self._warn_peers(message)
             case messages.SawRecovery((server_id, born_ms)):
                 self._tell_peers(
                     protocol.ServerRecovered(
@@ -163,13 +163,8 @@
                     self._ask_changes(sender, now_ms)
             case protocol.StoreChangesRequest(_, after_revision):
                 self._send_changes(sender, after_revision)
-            case protocol.ServerFailed(host, server_id, born_ms, reason):
-                if self._tasks is not None:
-                    self._tasks.dispatcher.tell(
-                        messages.PeerSawFailure(
-                            (server_id, born_ms), host, reason
-                        )
-                    )
+            case protocol.ServerFailed():
+                self._take_warning(received)
             case protocol.ServerRecovered(host, server_id, born_ms):
                 if self._tasks is not None:
                     self._tasks.dispatcher.tell(
@@ -348,14 +343,31 @@
             min(KEEP_FOR_MS, self._settings.bounds.max_keep_for_ms),
         )
 
-    def _warn_peers(self, server: tuple[str, int], reason: str) -> None:
-        server_id, born_ms = server
+    def _warn_peers(self, saw: messages.SawFailure) -> None:
+        server_id, born_ms = saw.server
         self._tell_peers(
             protocol.ServerFailed(
-                self._settings.name, server_id, born_ms, reason
+                self._settings.name,
+                server_id,
+                born_ms,
+                saw.reason,
+                saw.slow,
+                saw.requests,
             )
         )
 
+    def _take_warning(self, warning: protocol.ServerFailed) -> None:
+        if self._tasks is not None:
+            self._tasks.dispatcher.tell(
+                messages.PeerSawFailure(
+                    (warning.server_id, warning.born_ms),
+                    warning.host,
+                    warning.reason,
+                    warning.slow,
+                    warning.requests,
+                )
+            )
+
     def _tell_peers(self, message: protocol.AnyMessage) -> None:
         peers = tuple(
             host.peers
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -12,9 +12,10 @@
 from cardamomdeal.backend import idle
 from cardamomdeal.balancing import avoidance
 from cardamomdeal.balancing import budget
-from cardamomdeal.balancing import floor
 from cardamomdeal.balancing import outcomes
 from cardamomdeal.balancing import placement
+from cardamomdeal.balancing import second_chance
+from cardamomdeal.balancing import service_load
 from cardamomdeal.entry import messages
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import routes
@@ -93,8 +94,8 @@
                 lambda: budget.RepeatBudget(settings.bounds)
             )
         )
-        self._floors: dict[str, floor.CapacityFloor] = collections.defaultdict(
-            lambda: floor.CapacityFloor(settings.bounds.capacity_floor)
+        self._loads: dict[str, service_load.ServiceLoad] = (
+            collections.defaultdict(service_load.ServiceLoad)
         )
         self._idle: idle.IdleConnections[tuple[str, int]] = (
             idle.IdleConnections()
@@ -126,8 +127,8 @@
                 self._routes = table
             case messages.ServersInForce(servers, hosts):
                 self._use_servers(servers, hosts)
-            case messages.PeerSawFailure(server, host, reason):
-                self._take_peer_failure(server, host, reason)
+            case messages.PeerSawFailure():
+                self._take_peer_failure(message)
             case messages.PeerSawRecovery(server, host):
                 self._take_peer_recovery(server, host)
             case messages.Tick():
@@ -149,9 +150,9 @@
         if ends_at_ms - now_ms < MIN_USEFUL_MS:
             return self._reject(admit, 503, 'no time is left', 0)
         service = routes.choose_service(route, self._random)
-        self._budgets[service].note_request(now_ms)
-        self._floors[service].note_request(now_ms)
-        view = self._choose(admit.request_id, service, frozenset(), now_ms)
+        self._budgets[service].note_request(now_ms, self._hosts)
+        self._loads[service].note_request(now_ms)
+        view = self._choose(admit.request_id, route, service, set(), now_ms)
         if view is None:
             return self._reject(
                 admit, 503, f'{service} has no server', NO_SERVER_RETRY_MS
@@ -191,8 +192,9 @@
     def _choose(
         self,
         request_id: str,
+        route: model.Route,
         service: str,
-        tried: frozenset[tuple[str, int]],
+        tried: set[tuple[str, int]],
         now_ms: int,
     ) -> _View | None:
         candidates = [
@@ -202,9 +204,12 @@
         ]
         choice = placement.choose(
             candidates,
-            self._settings.place.data_centre,
-            self._floors[service].share(self._hosts, now_ms),
-            now_ms,
+            placement.Situation(
+                self._settings.place.data_centre,
+                self._service(service, now_ms),
+                _is_repeatable(route) and not tried,
+                now_ms,
+            ),
             self._random,
         )
         if choice is None:
@@ -219,13 +224,22 @@
                 'in_flight': chosen.in_flight,
                 'load': chosen.load and dataclasses.astuple(chosen.load),
                 'load_age_ms': now_ms - chosen.load_at_ms,
-                'avoided': chosen.avoid_until_ms > now_ms,
                 'eligible_servers': choice.eligible,
-                'avoided_servers': choice.avoided,
+                'servers': choice.servers,
+                'second_chance': choice.second_chance,
+                'hosts': self._hosts,
             },
         )
         return self._views[chosen.server.incarnation]
 
+    def _service(self, name: str, now_ms: int) -> second_chance.Service:
+        load = self._loads[name]
+        return second_chance.Service(
+            load.rate_per_s(self._hosts, now_ms),
+            load.unserved_share(self._hosts, now_ms),
+            self._settings.bounds.capacity_floor,
+        )
+
     def _candidate(self, view: _View, now_ms: int) -> placement.Candidate:
         key = view.server.incarnation
         return placement.Candidate(
@@ -233,7 +247,7 @@
             in_flight=view.in_flight,
             load=view.load,
             load_at_ms=view.load_at_ms,
-            avoid_until_ms=self._avoidance.until_ms(key),
+            suspicion=self._avoidance.suspicion(key),
             closed_until_ms=view.closed_until_ms,
             has_idle_connection=self._idle.has(key, now_ms),
             cold_until_ms=view.seen_at_ms + view.server.cold_remaining_ms,
@@ -272,8 +286,9 @@
         if reason is None:
             view = self._choose(
                 request.request_id,
+                request.route,
                 request.service,
-                frozenset(request.tried),
+                request.tried,
                 self._time.now_ms(),
             )
             if view is not None:
@@ -353,9 +368,15 @@
                 view.closed_until_ms = now_ms + UNREACHABLE_MS
         key = view.server.incarnation
         if outcomes.is_failure(result):
-            self._floors[request.service].note_unserved(now_ms)
-            noted = self._avoidance.note_failure(key, now_ms)
-            self._core.tell(messages.SawFailure(key, _reason(result)))
+            load = self._loads[request.service]
+            load.note_unserved(now_ms)
+            slow = isinstance(result, outcomes.TimedOut)
+            noted = self._avoidance.note_failure(key, slow, now_ms)
+            self._core.tell(
+                messages.SawFailure(
+                    key, _reason(result), slow, load.requests(now_ms)
+                )
+            )
             log.info(
                 'server avoided',
                 extra={
@@ -388,21 +409,20 @@
                 extra={'server': server[0], 'seen_by': host},
             )
 
-    def _take_peer_failure(
-        self, server: tuple[str, int], host: str, reason: str
-    ) -> None:
+    def _take_peer_failure(self, saw: messages.PeerSawFailure) -> None:
+        server = saw.server
         if server not in self._views:
             return
         now_ms = self._time.now_ms()
         service = self._views[server].server.service
-        self._floors[service].note_peer_failure(now_ms)
-        noted = self._avoidance.note_failure(server, now_ms)
+        self._loads[service].note_peer_failure(saw.requests, now_ms)
+        noted = self._avoidance.note_failure(server, saw.slow, now_ms)
         log.info(
             'server avoided',
             extra={
                 'server': server[0],
-                'seen_by': host,
-                'reason': reason,
+                'seen_by': saw.host,
+                'reason': saw.reason,
                 'failures': noted.failures,
                 'for_ms': noted.until_ms - now_ms,
             },
@@ -439,6 +459,14 @@
     return admit.arrived_at_ms + min(limits, default=DEFAULT_DEADLINE_MS)
 
 
+def _is_repeatable(route: model.Route) -> bool:
+    match route.kind:
+        case model.Idempotent():
+            return route.max_attempts > 1
+        case model.NonIdempotent() | model.Upload():
+            return False
+
+
 def _note_load(view: _View, load: outcomes.Load | None, now_ms: int) -> None:
     if load is not None:
         view.load = load
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -1,6 +1,7 @@
 """Program of an entry host."""
 
 import logging
+import os
 import sys
 import threading
 from typing import Any
@@ -84,7 +85,10 @@
     _serve_on(settings, application, callers)
     log.info('stopped')
     pykka.ActorRegistry.stop_all(block=False)
-    sys.stdout.flush()
+    logging.shutdown()
+    # Calls to a store that does not answer would hold the exit up for
+    # longer than the process is given.
+    os._exit(process.EXIT_OK)
 
 
 def _small_server(at: address.Address, application: Any) -> Any:
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -93,6 +93,8 @@
     server: tuple[str, int]
     host: str
     reason: str
+    slow: bool
+    requests: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +103,8 @@
 
     server: tuple[str, int]
     reason: str
+    slow: bool
+    requests: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/internal/actor.py
+++ b/src/cardamomdeal/internal/actor.py
@@ -20,6 +20,10 @@
         """Handle one message; log what goes wrong and go on."""
         try:
             return self.receive(message)
+        except pykka.ActorDeadError:
+            # Actors stop one after the other at the end of the process.
+            log.debug('message to an actor that has stopped')
+            return None
         except Exception:
             log.exception(
                 'message failed',
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -269,6 +269,9 @@
     server_id: str
     born_ms: int
     reason: str
+    slow: bool
+    # What the sender was asked lately for the server's service.
+    requests: int
 
 
 class ServerRecovered(Message, frozen=True):
