Weigh failures against load, and share loads within a data centre

Cause: with few servers left the others were crowded, and a host sees a server's load too rarely to notice. Change: a server is chosen by its chance to lose the request, from what it failed and from how much waits there; loads go to hosts of the same data centre, where bytes are free. Lookups still wait behind one another on their connections.

--- a/src/cardamomdeal/balancing/placement.py
+++ b/src/cardamomdeal/balancing/placement.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 import dataclasses
-import math
 import random
 
 from cardamomdeal.balancing import avoidance
@@ -10,20 +9,27 @@
 from cardamomdeal.balancing import second_chance
 from cardamomdeal.fleet import model
 
-# Share of the reachable servers that are in full use, whatever failed:
-# with fewer, those left would be overloaded.
-LEAST_IN_USE = 0.2
 # A load report says little about a server after this long.
-LOAD_VALID_MS = 1_000
+LOAD_VALID_MS = 1_500
 # Servers compared for one request: enough to miss the busy ones, few
 # enough that hosts with the same view do not all take the same server.
 SAMPLED_SERVERS = 3
-# What using another data centre costs, in parts of a busy slot.
-OTHER_DATA_CENTRE_COST = 0.5
-# What opening a connection costs, in parts of a busy slot.
-NEW_CONNECTION_COST = 0.2
+# Costs are chances that the caller does not get its answer in time. The
+# small ones only decide between servers that are alike otherwise.
+OTHER_DATA_CENTRE_COST = 0.04
+NEW_CONNECTION_COST = 0.01
+BUSY_SLOT_COST = 0.05
 # A server that started a moment ago works at about half its speed.
-COLD_COST = 1.0
+COLD_COST = 0.1
+# Of servers that failed once, and again, so many fail the next request;
+# the longer ago, the fewer.
+FAILED_ONCE_COST = 0.4
+FAILED_AGAIN_COST = 0.9
+FAILED_LONG_AGO_COST = 0.3
+LONG_AGO_MS = 9_000
+# Work waiting for this many rounds of a server's slots comes too late.
+LATE_ROUNDS = 3.0
+LATE_COST = 0.95
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +40,8 @@
     in_flight: int
     load: outcomes.Load | None
     load_at_ms: int
+    # Requests sent from here since the load was reported.
+    sent_since_load: int
     # What speaks against the server, if anything does.
     suspicion: avoidance.Suspicion | None
     # Set while the path from this host, or the server's queue, is shut.
@@ -86,9 +94,11 @@
     if tries_again:
         best = avoided[randomness.choice(chances.places)]
     else:
+        # Avoided servers stand in when the others are overloaded.
+        sampled = _sample(eligible, situation.data_centre, randomness)
+        sampled += avoided[:SAMPLED_SERVERS]
         best = min(
-            _sample(eligible, situation.data_centre, randomness),
-            key=lambda c: _cost(c, situation.data_centre, now_ms),
+            sampled, key=lambda c: _cost(c, situation.data_centre, now_ms)
         )
     return Choice(best, len(eligible), len(usable), tries_again)
 
@@ -99,18 +109,11 @@
     """Part the servers to use from those to avoid.
 
     Those that failed longest ago come first among the avoided, since
-    they are the likeliest to work again, and make up for a shortage.
+    they are the likeliest to work again.
     """
-    by_failure = sorted(usable, key=_failed_at_ms)
-    least = math.ceil(len(by_failure) * LEAST_IN_USE)
-    eligible = []
-    avoided = []
-    for candidate in by_failure:
-        if _may_use(candidate, now_ms) or len(eligible) < least:
-            eligible.append(candidate)
-        else:
-            avoided.append(candidate)
-    return eligible, avoided
+    eligible = [c for c in usable if _may_use(c, now_ms)]
+    avoided = [c for c in usable if not _may_use(c, now_ms)]
+    return eligible, sorted(avoided, key=_failed_at_ms)
 
 
 def _failed_at_ms(candidate: Candidate) -> int:
@@ -139,12 +142,8 @@
 
 
 def _cost(candidate: Candidate, data_centre: str, now_ms: int) -> float:
-    """Return the busy slots that a request would find, and what it costs."""
-    busy = candidate.in_flight
-    if candidate.load and now_ms - candidate.load_at_ms <= LOAD_VALID_MS:
-        reported = candidate.load.running + candidate.load.waiting
-        busy = max(busy, reported)
-    cost = busy / candidate.server.slots
+    """Return the chance of losing the request, and smaller costs."""
+    cost = _failure_cost(candidate, now_ms) + _load_cost(candidate, now_ms)
     if candidate.server.data_centre != data_centre:
         cost += OTHER_DATA_CENTRE_COST
     if not candidate.has_idle_connection:
@@ -152,3 +151,25 @@
     if candidate.cold_until_ms > now_ms:
         cost += COLD_COST
     return cost
+
+
+def _failure_cost(candidate: Candidate, now_ms: int) -> float:
+    suspicion = candidate.suspicion
+    if suspicion is None or suspicion.until_ms <= now_ms:
+        return 0.0
+    fresh = FAILED_ONCE_COST if suspicion.failures == 1 else FAILED_AGAIN_COST
+    age = min(1.0, (now_ms - suspicion.failed_at_ms) / LONG_AGO_MS)
+    return fresh + (FAILED_LONG_AGO_COST - fresh) * age
+
+
+def _load_cost(candidate: Candidate, now_ms: int) -> float:
+    """Return what waiting for a slot costs."""
+    busy = candidate.in_flight
+    if candidate.load and now_ms - candidate.load_at_ms <= LOAD_VALID_MS:
+        reported = candidate.load.running + candidate.load.waiting
+        busy = max(busy, reported + candidate.sent_since_load)
+    rounds = busy / candidate.server.slots
+    if rounds < 1:
+        return BUSY_SLOT_COST * rounds
+    lateness = min(1.0, (rounds - 1) / LATE_ROUNDS)
+    return BUSY_SLOT_COST * rounds + LATE_COST * lateness**2
--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from cardamomdeal.balancing import outcomes
 from cardamomdeal.channels import datagrams
 from cardamomdeal.entry import knowledge
 from cardamomdeal.entry import messages
@@ -93,6 +94,8 @@
                 self._note_store_failed(reason)
             case messages.SawFailure():
                 self._warn_peers(message)
+            case messages.SawLoad():
+                self._share_load(message)
             case messages.SawRecovery((server_id, born_ms)):
                 self._tell_peers(
                     protocol.ServerRecovered(
@@ -163,6 +166,8 @@
                     self._ask_changes(sender, now_ms)
             case protocol.StoreChangesRequest(_, after_revision):
                 self._send_changes(sender, after_revision)
+            case protocol.ServerLoad():
+                self._take_load(received)
             case protocol.ServerFailed():
                 self._take_warning(received)
             case protocol.ServerRecovered(host, server_id, born_ms):
@@ -368,11 +373,35 @@
                 )
             )
 
-    def _tell_peers(self, message: protocol.AnyMessage) -> None:
+    def _share_load(self, saw: messages.SawLoad) -> None:
+        server_id, born_ms = saw.server
+        load = saw.load
+        # Between data centres the bytes cost more than they are worth.
+        self._tell_peers(
+            protocol.ServerLoad(
+                server_id, born_ms, load.running, load.waiting, load.slots
+            ),
+            data_centre=self._settings.place.data_centre,
+        )
+
+    def _take_load(self, told: protocol.ServerLoad) -> None:
+        if self._tasks is not None:
+            self._tasks.dispatcher.tell(
+                messages.PeerSawLoad(
+                    (told.server_id, told.born_ms),
+                    outcomes.Load(told.running, told.waiting, told.slots),
+                )
+            )
+
+    def _tell_peers(
+        self, message: protocol.AnyMessage, data_centre: str | None = None
+    ) -> None:
+        """Send to all other hosts, or to those of one data centre."""
         peers = tuple(
             host.peers
             for host in self._knowledge.hosts()
             if host.name != self._settings.name
+            and data_centre in (None, host.data_centre)
         )
         if peers:
             self._datagrams.command(datagrams.SendTo(peers, message))
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -53,6 +53,7 @@
     in_flight: int = 0
     load: outcomes.Load | None = None
     load_at_ms: int = 0
+    sent_since_load: int = 0
     closed_until_ms: int = 0
 
 
@@ -129,6 +130,9 @@
                 self._use_servers(servers, hosts)
             case messages.PeerSawFailure():
                 self._take_peer_failure(message)
+            case messages.PeerSawLoad(server, load):
+                if server in self._views:
+                    _note_load(self._views[server], load, self._time.now_ms())
             case messages.PeerSawRecovery(server, host):
                 self._take_peer_recovery(server, host)
             case messages.Tick():
@@ -247,6 +251,7 @@
             in_flight=view.in_flight,
             load=view.load,
             load_at_ms=view.load_at_ms,
+            sent_since_load=view.sent_since_load,
             suspicion=self._avoidance.suspicion(key),
             closed_until_ms=view.closed_until_ms,
             has_idle_connection=self._idle.has(key, now_ms),
@@ -256,6 +261,7 @@
     def _assign(self, ticket: int, request: _Request) -> messages.Assigned:
         view = request.view
         view.in_flight += 1
+        view.sent_since_load += 1
         kept = None
         match request.route.kind:
             case model.Idempotent():
@@ -358,9 +364,9 @@
         self._counters[f'results.{type(result).__name__}'] += 1
         match result:
             case outcomes.Answered(_, _, load):
-                _note_load(view, load, now_ms)
+                self._take_load(view, load, now_ms)
             case outcomes.NotExecuted(_, load):
-                _note_load(view, load, now_ms)
+                self._take_load(view, load, now_ms)
                 view.closed_until_ms = now_ms + FULL_MS
             case outcomes.NotConnected():
                 view.closed_until_ms = now_ms + UNREACHABLE_MS
@@ -390,6 +396,13 @@
         elif isinstance(result, outcomes.Answered):
             self._note_success(request, now_ms - result.latency_ms)
 
+    def _take_load(
+        self, view: _View, load: outcomes.Load | None, now_ms: int
+    ) -> None:
+        if load is not None:
+            _note_load(view, load, now_ms)
+            self._core.tell(messages.SawLoad(view.server.incarnation, load))
+
     def _note_success(self, request: _Request, started_ms: int) -> None:
         key = request.view.server.incarnation
         if self._avoidance.note_success(key, started_ms):
@@ -467,10 +480,10 @@
             return False
 
 
-def _note_load(view: _View, load: outcomes.Load | None, now_ms: int) -> None:
-    if load is not None:
-        view.load = load
-        view.load_at_ms = now_ms
+def _note_load(view: _View, load: outcomes.Load, now_ms: int) -> None:
+    view.load = load
+    view.load_at_ms = now_ms
+    view.sent_since_load = 0
 
 
 def _reason(result: outcomes.AttemptResult) -> str:
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -115,6 +115,22 @@
     host: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SawLoad:
+    """Report a server's load, for the hosts of this data centre."""
+
+    server: tuple[str, int]
+    load: outcomes.Load
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSawLoad:
+    """Pass on a server's load that another host was told."""
+
+    server: tuple[str, int]
+    load: outcomes.Load
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SawRecovery:
     """Report that a suspected server works, for the other hosts."""
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -274,6 +274,16 @@
     requests: int
 
 
+class ServerLoad(Message, frozen=True):
+    """Pass on the load that a backend server reported just now."""
+
+    server_id: str
+    born_ms: int
+    running: int
+    waiting: int
+    slots: int
+
+
 class ServerRecovered(Message, frozen=True):
     """Tell that a suspected backend server served a request just now."""
 
@@ -308,4 +318,5 @@
     | StoreChangesRequest
     | ServerFailed
     | ServerRecovered
+    | ServerLoad
 )
