Serve pipelined lookups side by side; metrics, bounded logs, shorter hold

Change: requests of a connection are served side by side and answered in order; the hold is 1.5 s; the process ends 0.7 s before its grace; counters and histograms are served as text; log lines are queued, bounded, counted. The hold was not yet measured.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -23,6 +23,7 @@
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import ticker
 from cardamomdeal.settings import model as settings_model
+from cardamomdeal.telemetry import histograms
 
 TICK_MS = 1_000
 # A server that could not be reached from here is left alone this long;
@@ -104,6 +105,7 @@
         self._requests: dict[int, _Request] = {}
         self._next_ticket = 1
         self._counters: collections.Counter[str] = collections.Counter()
+        self._histograms = histograms.LatencyHistograms()
 
     def on_start(self) -> None:
         """Begin to drop stale connections."""
@@ -138,7 +140,9 @@
             case messages.Tick():
                 self._idle.drop_stale(self._time.now_ms())
             case messages.TakeMetrics():
-                return dict(self._counters)
+                return messages.Metrics(
+                    dict(self._counters), self._histograms.encoded()
+                )
         return None
 
     def _admit(self, admit: messages.Admit) -> messages.Decision:
@@ -363,7 +367,10 @@
         view.in_flight -= 1
         self._counters[f'results.{type(result).__name__}'] += 1
         match result:
-            case outcomes.Answered(_, _, load):
+            case outcomes.Answered(_, latency_ms, load):
+                self._histograms.record(
+                    request.service, request.route.name, latency_ms
+                )
                 self._take_load(view, load, now_ms)
             case outcomes.NotExecuted(_, load):
                 self._take_load(view, load, now_ms)
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -11,6 +11,7 @@
 
 from cardamomdeal.entry import core
 from cardamomdeal.entry import dispatcher
+from cardamomdeal.entry import exposition
 from cardamomdeal.entry import forwarding
 from cardamomdeal.entry import messages
 from cardamomdeal.entry import registrar
@@ -34,7 +35,7 @@
 # still send in this time is served before the listener closes.
 SERVE_ON_SHARE = 0.6
 # Left for ending the process after the last answer.
-EXIT_MARGIN_MS = 400
+EXIT_MARGIN_MS = 700
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +47,9 @@
 
 
 def _run(settings: settings_model.EntrySettings) -> None:
-    logs.configure(settings.name, settings.place, settings.telemetry.log_level)
+    log_writer = logs.configure_bounded(
+        settings.name, settings.place, settings.telemetry.log_level
+    )
     stop = process.stop_event()
     time = clock.Clock()
     started_ms = time.wall_ms()
@@ -73,6 +76,7 @@
     others = (
         _small_server(settings.readiness, interfaces.Readiness(knowing)),
         _small_server(settings.directory, interfaces.Directory(knowing)),
+        _small_server(settings.metrics, exposition.Metrics(dispatching)),
     )
     for task in (callers, *others):
         task.start()
@@ -85,7 +89,7 @@
     _serve_on(settings, application, callers)
     log.info('stopped')
     pykka.ActorRegistry.stop_all(block=False)
-    logging.shutdown()
+    log_writer.stop()
     # Calls to a store that does not answer would hold the exit up for
     # longer than the process is given.
     os._exit(process.EXIT_OK)
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -11,6 +11,7 @@
 from cardamomdeal.fleet import routes
 from cardamomdeal.internal import address
 from cardamomdeal.platform import store
+from cardamomdeal.protocol import messages as protocol
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,5 +242,13 @@
     """Ask for counters and histograms."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Metrics:
+    """Hand out counters, and latencies by service and route."""
+
+    counters: dict[str, int]
+    histograms: tuple[protocol.LatencyHistogram, ...]
+
+
 Decision = Assigned | Rejected
 RetryDecision = Assigned | NoRetry
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from concurrent import futures
 import logging
 import queue
 import threading
@@ -14,6 +15,7 @@
 from cardamomdeal.entry import caller
 from cardamomdeal.entry import errors
 from cardamomdeal.entry import forwarding
+from cardamomdeal.entry import pipeline
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import refusals
 from cardamomdeal.settings import model
@@ -43,19 +45,22 @@
     ) -> None:
         self._forwarder = forwarder
         self._time = time
-        self._leaving = threading.Event()
+        self.leaving = threading.Event()
 
     def leave(self) -> None:
         """Ask callers to close their connections from now on."""
-        self._leaving.set()
+        self.leaving.set()
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request."""
+        # Decided first: callers send what they had sent behind an answer
+        # that closes the connection again, so it must be the last one.
+        closes = self.leaving.is_set()
         reply = self._serve(environ)
         headers = list(reply.headers)
-        if self._leaving.is_set():
+        if closes:
             headers.append(('Connection', 'close'))
         start_response(reply.status_line, headers)
         return [reply.body]
@@ -86,10 +91,19 @@
 
 
 class _Connection(cheroot_server.HTTPConnection):
-    """Remember whether the connection has been waited on."""
+    """Serve the requests of a connection side by side."""
 
+    # Whether the connection has been waited on for its first request.
     waited = False
 
+    def communicate(self) -> bool:
+        """Serve what has arrived; return if the connection stays open."""
+        try:
+            return pipeline.Pipeline(self, self.server.workers).run()
+        except OSError as error:
+            log.info('caller lost', extra={'reason': str(error)})
+            return False
+
 
 class CallerServer(wsgi.Server):
     """Give threads to connections that have sent something only."""
@@ -98,6 +112,7 @@
 
     def prepare(self) -> None:
         """Listen and start the threads."""
+        self.workers = futures.ThreadPoolExecutor(THREADS)
         super().prepare()
         self._refusals = refusals.RefusalTask((('Retry-After', '0.5'),))
         self._refusals.start()
@@ -136,6 +151,7 @@
         accepted_queue_timeout=QUEUE_TIMEOUT_S,
     )
     built.gateway = _Gateway
+    built.leaving = application.leaving
     built.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
     built.max_request_header_size = MAX_HEADER_BYTES
     built.server_name = 'cardamomdeal'
--- a/src/cardamomdeal/fleet/registry.py
+++ b/src/cardamomdeal/fleet/registry.py
@@ -7,8 +7,10 @@
 from typing import TypeVar
 
 # Entries that ran out while the store was away are written again within
-# about two seconds of its return; one still missing then is gone.
-LAPSE_HOLD_MS = 2_000
+# about two seconds of its return; one still missing then is gone. Less
+# than that, since the server may have left long before: new work must not
+# reach it two seconds after this host could know.
+LAPSE_HOLD_MS = 1_500
 
 Entry = TypeVar('Entry')
 
