--- a/devel/fleet.py
+++ b/devel/fleet.py
@@ -441,6 +441,11 @@
         return probe.connect_ex((host, int(port))) == 0
 
 
+def free_port() -> int:
+    """Return a loopback port that nothing listens on."""
+    return int(free_address().rpartition(':')[2])
+
+
 def load_document(path: str) -> dict[str, Any]:
     """Read a document from a file."""
     text = pathlib.Path(path).read_text(encoding='utf-8')
--- /dev/null
+++ b/devel/store_standin.py
@@ -0,0 +1,231 @@
+"""Stand-in for the platform's store, with the ways it misbehaves."""
+
+import base64
+from collections.abc import Callable
+import dataclasses
+import enum
+import json
+import threading
+import time
+from typing import Any
+
+from cheroot import wsgi
+
+from cardamomdeal.internal import http_json
+
+THREADS = 32
+STATUSES = {404: 'not found', 410: 'history gone', 412: 'changed'}
+
+
+class Trouble(enum.Enum):
+    """Say how the store misbehaves."""
+
+    NONE = 'none'
+    BUSY = 'busy'
+    TOO_MANY = 'too many'
+    # Calls are carried out and their answers lost.
+    ANSWERS_LOST = 'answers lost'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Value:
+    data: str
+    revision: int
+    lease: int
+
+
+class StoreStandin:
+    """Keep keys in memory and answer as the platform's store does."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.trouble = Trouble.NONE
+        self.calls = 0
+        self._changed = threading.Condition()
+        self._revision = 1
+        self._values: dict[str, _Value] = {}
+        self._events: list[dict[str, Any]] = []
+        self._first_event_after = 0
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._server = wsgi.Server(
+            (host, port), self._application, numthreads=THREADS, max=THREADS
+        )
+        self._server.prepare()
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop answering."""
+        self._server.stop()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key as an operator or a server would."""
+        with self._changed:
+            return self._put(key, base64.b64encode(value).decode(), lease)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        with self._changed:
+            self._remove(key)
+
+    def present_keys(self) -> tuple[str, ...]:
+        """Return the keys that are there."""
+        with self._changed:
+            self._expire_leases()
+            return tuple(self._values)
+
+    def drop_history(self) -> None:
+        """Forget what changed so far; watches from then are refused."""
+        with self._changed:
+            self._events.clear()
+            self._first_event_after = self._revision
+
+    def _application(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> list[bytes]:
+        request = http_json.read(environ)
+        self.calls += 1
+        match self.trouble:
+            case Trouble.BUSY:
+                reply = http_json.JsonReply(503, {'error': 'busy'})
+            case Trouble.TOO_MANY:
+                reply = http_json.JsonReply(429, {'error': 'too many'})
+            case Trouble.ANSWERS_LOST:
+                self._serve(request)
+                raise ConnectionError('the answer is lost')
+            case Trouble.NONE:
+                reply = self._serve(request)
+        return http_json.send(reply, start_response)
+
+    def _serve(self, request: http_json.JsonRequest) -> http_json.JsonReply:
+        name, _, argument = request.path.removeprefix(
+            '/cardamomdeal/'
+        ).partition('/')
+        body = json.loads(request.body) if request.body else {}
+        calls: dict[str, Callable[[], tuple[int, dict[str, Any]]]] = {
+            'kv-key': lambda: self._get(request.query['key']),
+            'kv-range': lambda: self._range(request.query.get('prefix', '')),
+            'kv-watch': lambda: self._watch(
+                request.query.get('prefix', ''),
+                int(request.query['after']),
+                int(request.query['wait_ms']) / 1_000,
+            ),
+            'kv-txn': lambda: self._transact(body),
+            'kv-lease': lambda: self._grant(body),
+            'kv-keep': lambda: self._keep(int(argument)),
+            'kv-lease-end': lambda: self._end(int(argument)),
+        }
+        with self._changed:
+            self._expire_leases()
+            status, answer = calls[name]()
+        return http_json.JsonReply(
+            status, answer or {'error': STATUSES.get(status, '')}
+        )
+
+    def _get(self, key: str) -> tuple[int, dict[str, Any]]:
+        value = self._values.get(key)
+        if value is None:
+            return 404, {}
+        return 200, self._item(key, value) | {'store_revision': self._revision}
+
+    def _range(self, prefix: str) -> tuple[int, dict[str, Any]]:
+        items = [
+            self._item(key, value)
+            for key, value in sorted(self._values.items())
+            if key.startswith(prefix)
+        ]
+        return 200, {
+            'items': items,
+            'has_more': False,
+            'store_revision': self._revision,
+        }
+
+    def _watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> tuple[int, dict[str, Any]]:
+        ends_at_s = time.monotonic() + wait_s
+        while True:
+            if after < self._first_event_after:
+                return 410, {}
+            events = [
+                event
+                for event in self._events
+                if event['revision'] > after
+                and event['key'].startswith(prefix)
+            ]
+            left_s = ends_at_s - time.monotonic()
+            if events or left_s <= 0:
+                return 200, {
+                    'events': events,
+                    'store_revision': self._revision,
+                }
+            self._changed.wait(left_s)
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in body.get('expected_revision', []):
+            value = self._values.get(row['key'])
+            if (value.revision if value else 0) != row['revision']:
+                return 412, {'items': []}
+        for put in body.get('puts', []):
+            if put.get('lease') and put['lease'] not in self._leases:
+                return 404, {}
+            self._put(put['key'], put['value'], put.get('lease', 0))
+        for key in body.get('deletes', []):
+            self._remove(key)
+        return 200, {'revision': self._revision}
+
+    def _grant(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        duration_s = float(body['ttl_time'].removesuffix('ms')) / 1_000
+        lease = self._revision * 1_000 + len(self._leases) + 1
+        self._leases[lease] = (duration_s, time.monotonic() + duration_s)
+        return 200, {'lease': lease, 'ttl_time': body['ttl_time']}
+
+    def _keep(self, lease: int) -> tuple[int, dict[str, Any]]:
+        if lease not in self._leases:
+            return 404, {}
+        duration_s, _ = self._leases[lease]
+        self._leases[lease] = (duration_s, time.monotonic() + duration_s)
+        return 200, {'ttl_time': f'{round(duration_s * 1_000)}ms'}
+
+    def _end(self, lease: int) -> tuple[int, dict[str, Any]]:
+        if self._leases.pop(lease, None) is None:
+            return 404, {}
+        self._remove_keys_of(lease)
+        return 200, {'lease': lease}
+
+    def _expire_leases(self) -> None:
+        now_s = time.monotonic()
+        for lease, (_, ends_at_s) in list(self._leases.items()):
+            if ends_at_s <= now_s:
+                del self._leases[lease]
+                self._remove_keys_of(lease)
+
+    def _remove_keys_of(self, lease: int) -> None:
+        for key, value in list(self._values.items()):
+            if value.lease == lease:
+                self._remove(key)
+
+    def _put(self, key: str, data: str, lease: int) -> int:
+        self._revision += 1
+        value = _Value(data, self._revision, lease)
+        self._values[key] = value
+        self._events.append(self._item(key, value))
+        self._changed.notify_all()
+        return self._revision
+
+    def _remove(self, key: str) -> None:
+        if self._values.pop(key, None) is None:
+            return
+        self._revision += 1
+        self._events.append(
+            {'key': key, 'revision': self._revision, 'removed': True}
+        )
+        self._changed.notify_all()
+
+    @staticmethod
+    def _item(key: str, value: _Value) -> dict[str, Any]:
+        return {
+            'key': key,
+            'value': value.data,
+            'revision': value.revision,
+            'created': value.revision,
+            'lease': value.lease,
+        }
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -119,3 +119,7 @@
     ending = threading.Thread(target=callers.finish, daemon=True)
     ending.start()
     ending.join((grace_ms - serve_on_ms) / 1000)
+
+
+if __name__ == '__main__':
+    main()
