Finish an answer before waking the task that sends it

Cause: a request's future counts as done only after its function returned, and the wake-up was written inside it: woken too early, the connection's task found nothing done and waited for ever. Seen as four lookups without an answer in 17 tests of whole entry hosts. Change: the answer is marked finished before the wake-up.

--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -6,6 +6,7 @@
 import io
 import os
 import select
+import threading
 from typing import Any
 
 from cheroot import server as cheroot_server
@@ -21,6 +22,7 @@
     def __init__(self, connection: cheroot_server.HTTPConnection) -> None:
         self._connection = connection
         self.wfile = io.BytesIO()
+        self.finished = threading.Event()
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._connection, name)
@@ -102,21 +104,27 @@
             if answering.wfile.tell():
                 done: futures.Future[None] = futures.Future()
                 done.set_result(None)
+                answering.finished.set()
                 self._begun.append(_Begun(request, answering, done))
             return
         if self._connection.server.leaving.is_set():
             # This request's answer closes the connection.
             self._reading = False
-        done = self._workers.submit(self._serve, request)
+        done = self._workers.submit(self._serve, request, answering)
         self._begun.append(_Begun(request, answering, done))
         if _has_body(request):
             # What follows on the connection is its body.
             futures.wait([done])
 
-    def _serve(self, request: cheroot_server.HTTPRequest) -> None:
+    def _serve(
+        self, request: cheroot_server.HTTPRequest, answering: _Answering
+    ) -> None:
         try:
             request.respond()
         finally:
+            # The future is done only after the wake-up; who is woken must
+            # find the answer finished already, or waits for ever.
+            answering.finished.set()
             os.write(self._wake, b'\0')
 
     def _wait(self) -> None:
@@ -131,7 +139,7 @@
 
     def _answer_finished(self) -> bool:
         """Send the answers that are next; return False to close."""
-        while self._begun and self._begun[0].done.done():
+        while self._begun and self._begun[0].answering.finished.is_set():
             begun = self._begun.popleft()
             # Raises what went wrong, and the connection is closed.
             begun.done.result()
