Mend names and comments that mislead

Cause: the platform's word stood in two modules outside platform/, a comment promised limits that are not enforced, two parameters were unused. Change: names and comments only.

--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -51,7 +51,7 @@
         self._host = host
         self._time = time
         self._random = random.Random()
-        self._knowledge = knowledge.Knowledge(time)
+        self._knowledge = knowledge.Knowledge()
         self._readers = readers.Readers(settings.name)
         self._changes: collections.deque[protocol.StoreEntry] = (
             collections.deque(maxlen=KEPT_CHANGES)
@@ -119,7 +119,7 @@
             self._publish()
         self._choose_reading()
         if self._reading and self._confirmed_at_ms is not None:
-            self._tell_progress(now_ms)
+            self._tell_progress()
 
     def _choose_reading(self) -> None:
         """Watch the store if this host is a reader or lacks one."""
@@ -143,7 +143,7 @@
             return STALE_MS + 1
         return self._time.now_ms() - self._confirmed_at_ms
 
-    def _tell_progress(self, now_ms: int) -> None:
+    def _tell_progress(self) -> None:
         self._tell_peers(
             protocol.StoreProgress(
                 self._settings.name, self._knowledge.revision, self._age_ms()
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -259,7 +259,7 @@
             suspicion=self._avoidance.suspicion(key),
             closed_until_ms=view.closed_until_ms,
             has_idle_connection=self._idle.has(key, now_ms),
-            cold_until_ms=view.seen_at_ms + view.server.cold_remaining_ms,
+            cold_until_ms=view.seen_at_ms + view.server.slow_start_ms,
         )
 
     def _assign(self, ticket: int, request: _Request) -> messages.Assigned:
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -22,7 +22,7 @@
 # Connecting takes one round trip between data centres; a lost packet is
 # sent again only after a second.
 CONNECT_TIMEOUT_MS = 250
-# Enough for an answer that was ready when its time ran out to arrive.
+# A process that is starved for seconds does not recover in less.
 STARVED_RETRY_MS = 1_000
 BODYLESS_STATUSES = frozenset({204, 304})
 
--- a/src/cardamomdeal/entry/knowledge.py
+++ b/src/cardamomdeal/entry/knowledge.py
@@ -8,7 +8,6 @@
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import registry
 from cardamomdeal.fleet import routes
-from cardamomdeal.internal import clock
 from cardamomdeal.platform import configuration
 from cardamomdeal.platform import entries
 from cardamomdeal.platform import store
@@ -20,8 +19,7 @@
 class Knowledge:
     """Follow the store's keys and hold what they mean."""
 
-    def __init__(self, time: clock.Clock) -> None:
-        self._time = time
+    def __init__(self) -> None:
         self.revision = 0
         self._configuration: model.Configuration | None = None
         self._new_routes: routes.RouteTable | None = None
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -25,8 +25,7 @@
 THREADS = 64
 QUEUED_CONNECTIONS = 256
 QUEUE_TIMEOUT_S = 0.05
-# The operators' limits stand in their configuration; until it is known
-# and for the bytes of a head, these hold.
+# Bounds of this program; the operators' own limits are not enforced yet.
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024**2
 # Longer than callers reuse an idle connection.
--- a/src/cardamomdeal/fleet/model.py
+++ b/src/cardamomdeal/fleet/model.py
@@ -95,7 +95,7 @@
     data_centre: str
     slots: int
     state: ServerState
-    cold_remaining_ms: int
+    slow_start_ms: int
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/src/cardamomdeal/platform/entries.py
+++ b/src/cardamomdeal/platform/entries.py
@@ -81,7 +81,8 @@
             data_centre=checked.info.zone,
             slots=checked.info.slots,
             state=model.ServerState(checked.status.state),
-            cold_remaining_ms=checked.status.cold_remaining,
+            # Counted until it works at its full speed, not until it is ready.
+            slow_start_ms=checked.status.cold_remaining,
         )
     )
 
--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -40,7 +40,7 @@
         data_centre=data_centre,
         slots=3,
         state=model.ServerState.READY,
-        cold_remaining_ms=0,
+        slow_start_ms=0,
     )
 
 
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -13,7 +13,6 @@
 from cardamomdeal.fleet import readers
 from cardamomdeal.fleet import registry
 from cardamomdeal.fleet import routes
-from cardamomdeal.internal import clock
 from cardamomdeal.platform import answers
 from cardamomdeal.platform import configuration
 from cardamomdeal.platform import entries
@@ -165,7 +164,7 @@
 
 class KnowledgeTest(unittest.TestCase):
     def setUp(self):
-        self.knowledge = knowledge.Knowledge(clock.ManualClock())
+        self.knowledge = knowledge.Knowledge()
         self.knowledge.replace(
             (
                 store.Item(wire.CONFIGURATION_KEY, encoded(CONFIGURATION), 3),
