Estimate how likely a server is bad in place of pausing it

A server was tried again 0.5 to 4.5 s after its first failure and 6 to 10 s after the next ones, whatever the load, though its episode lasts 10 s on average and half of its slots were not needed.

Change: a failure multiplies the odds that a server is bad by what its symptom says (error, broken answer, silence); a success divides them; they fade with the mean length of an episode. Placement adds the probability to the costs of waiting, so doubtful servers come back when load asks for them. Reports of servers without a free slot go to all data centres, a server without a fresh report counts as busy as the others, and a little chance keeps hosts from all choosing the same one. New servers count as idle, since six that had joined got nothing.

--- a/src/cardamomdeal/balancing/outcomes.py
+++ b/src/cardamomdeal/balancing/outcomes.py
@@ -1,6 +1,7 @@
 """How an attempt at a backend server ended."""
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,12 +86,22 @@
             return True
 
 
-def is_failure(result: AttemptResult) -> bool:
-    """Return whether the result speaks against the server's health."""
+class Symptom(enum.Enum):
+    """Say in which way a server failed a request."""
+
+    ERROR = 'error'
+    BROKEN = 'broken'
+    SILENT = 'silent'
+
+
+def symptom(result: AttemptResult) -> Symptom | None:
+    """Return what speaks against the server's health, if anything."""
     match result:
-        case Answered(status):
-            return status >= SERVER_ERROR_STATUS
-        case Broken() | TimedOut():
-            return True
-        case NotConnected() | NotExecuted() | AnotherServer() | CallerLeft():
-            return False
+        case Answered(status) if status >= SERVER_ERROR_STATUS:
+            return Symptom.ERROR
+        case Broken():
+            return Symptom.BROKEN
+        case TimedOut():
+            return Symptom.SILENT
+        case _:
+            return None
--- a/src/cardamomdeal/balancing/placement.py
+++ b/src/cardamomdeal/balancing/placement.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import dataclasses
 import random
+import statistics
 
 from cardamomdeal.balancing import avoidance
 from cardamomdeal.balancing import outcomes
@@ -16,19 +17,22 @@
 SAMPLED_SERVERS = 3
 # Costs are chances that the caller does not get its answer in time. The
 # small ones only decide between servers that are alike otherwise.
-OTHER_DATA_CENTRE_COST = 0.04
+OTHER_DATA_CENTRE_COST = 0.1
 NEW_CONNECTION_COST = 0.01
-BUSY_SLOT_COST = 0.05
+BUSY_SLOT_COST = 0.2
 # A server that started a moment ago works at about half its speed.
 COLD_COST = 0.1
-# Of servers that failed once, and again, so many fail the next request;
-# the longer ago, the fewer.
-FAILED_ONCE_COST = 0.4
-FAILED_AGAIN_COST = 0.9
-FAILED_LONG_AGO_COST = 0.3
-LONG_AGO_MS = 9_000
+# A server in a bad episode fails about this share of its work.
+BAD_SERVER_COST = 0.9
+# A server that is this unlikely to be bad is used like any other.
+TRUSTED_PROBABILITY = 0.1
+# Least doubtful servers compared with the trusted ones.
+SAMPLED_DOUBTFUL = 3
+# Hosts see the same reports; without some chance in their choices all of
+# them would send their next requests to the same server.
+CHANCE_COST = 0.1
 # Work waiting for this many rounds of a server's slots comes too late.
-LATE_ROUNDS = 3.0
+LATE_ROUNDS = 2.0
 LATE_COST = 0.95
 
 
@@ -94,11 +98,16 @@
     if tries_again:
         best = avoided[randomness.choice(chances.places)]
     else:
-        # Avoided servers stand in when the others are overloaded.
+        # Doubtful servers stand in when the others are overloaded.
         sampled = _sample(eligible, situation.data_centre, randomness)
-        sampled += avoided[:SAMPLED_SERVERS]
+        sampled += avoided[:SAMPLED_DOUBTFUL]
+        usual = _usual_rounds(eligible, now_ms)
         best = min(
-            sampled, key=lambda c: _cost(c, situation.data_centre, now_ms)
+            sampled,
+            key=lambda c: (
+                _cost(c, situation.data_centre, usual, now_ms)
+                + randomness.uniform(0, CHANCE_COST)
+            ),
         )
     return Choice(best, len(eligible), len(usable), tries_again)
 
@@ -106,23 +115,25 @@
 def _divide(
     usable: list[Candidate], now_ms: int
 ) -> tuple[list[Candidate], list[Candidate]]:
-    """Part the servers to use from those to avoid.
-
-    Those that failed longest ago come first among the avoided, since
-    they are the likeliest to work again.
-    """
-    eligible = [c for c in usable if _may_use(c, now_ms)]
-    avoided = [c for c in usable if not _may_use(c, now_ms)]
-    return eligible, sorted(avoided, key=_failed_at_ms)
-
-
-def _failed_at_ms(candidate: Candidate) -> int:
-    return candidate.suspicion.failed_at_ms if candidate.suspicion else 0
-
-
-def _may_use(candidate: Candidate, now_ms: int) -> bool:
-    suspicion = candidate.suspicion
-    return suspicion is None or suspicion.until_ms <= now_ms
+    """Part the trusted servers from the doubtful, the least so first."""
+    doubts = [_probability_bad(c, now_ms) for c in usable]
+    trusted = [
+        c
+        for c, doubt in zip(usable, doubts, strict=True)
+        if doubt < TRUSTED_PROBABILITY
+    ]
+    doubtful = [
+        (doubt, place)
+        for place, doubt in enumerate(doubts)
+        if doubt >= TRUSTED_PROBABILITY
+    ]
+    return trusted, [usable[place] for _, place in sorted(doubtful)]
+
+
+def _probability_bad(candidate: Candidate, now_ms: int) -> float:
+    if candidate.suspicion is None:
+        return 0.0
+    return candidate.suspicion.probability(now_ms)
 
 
 def _sample(
@@ -141,9 +152,26 @@
     return randomness.sample(candidates, min(SAMPLED_SERVERS, len(candidates)))
 
 
-def _cost(candidate: Candidate, data_centre: str, now_ms: int) -> float:
+def _usual_rounds(eligible: list[Candidate], now_ms: int) -> float:
+    """Return the mean load of the servers that told of theirs lately."""
+    rounds = [
+        (c.load.running + c.load.waiting) / c.server.slots
+        for c in eligible
+        if c.load and _is_fresh(c, now_ms)
+    ]
+    return statistics.fmean(rounds) if rounds else 0.0
+
+
+def _is_fresh(candidate: Candidate, now_ms: int) -> bool:
+    return now_ms - candidate.load_at_ms <= LOAD_VALID_MS
+
+
+def _cost(
+    candidate: Candidate, data_centre: str, usual_rounds: float, now_ms: int
+) -> float:
     """Return the chance of losing the request, and smaller costs."""
-    cost = _failure_cost(candidate, now_ms) + _load_cost(candidate, now_ms)
+    cost = BAD_SERVER_COST * _probability_bad(candidate, now_ms)
+    cost += _load_cost(candidate, usual_rounds, now_ms)
     if candidate.server.data_centre != data_centre:
         cost += OTHER_DATA_CENTRE_COST
     if not candidate.has_idle_connection:
@@ -153,22 +181,20 @@
     return cost
 
 
-def _failure_cost(candidate: Candidate, now_ms: int) -> float:
-    suspicion = candidate.suspicion
-    if suspicion is None or suspicion.until_ms <= now_ms:
-        return 0.0
-    fresh = FAILED_ONCE_COST if suspicion.failures == 1 else FAILED_AGAIN_COST
-    age = min(1.0, (now_ms - suspicion.failed_at_ms) / LONG_AGO_MS)
-    return fresh + (FAILED_LONG_AGO_COST - fresh) * age
-
-
-def _load_cost(candidate: Candidate, now_ms: int) -> float:
+def _load_cost(
+    candidate: Candidate, usual_rounds: float, now_ms: int
+) -> float:
     """Return what waiting for a slot costs."""
-    busy = candidate.in_flight
-    if candidate.load and now_ms - candidate.load_at_ms <= LOAD_VALID_MS:
+    rounds = candidate.in_flight / candidate.server.slots
+    trusted = _probability_bad(candidate, now_ms) < TRUSTED_PROBABILITY
+    if candidate.load and trusted:
+        # It told nothing lately, and is as busy as the others in use. One
+        # that never told anything is new, and to be tried.
+        rounds += usual_rounds
+    if candidate.load and _is_fresh(candidate, now_ms):
         reported = candidate.load.running + candidate.load.waiting
-        busy = max(busy, reported + candidate.sent_since_load)
-    rounds = busy / candidate.server.slots
+        busy = max(candidate.in_flight, reported + candidate.sent_since_load)
+        rounds = busy / candidate.server.slots
     if rounds < 1:
         return BUSY_SLOT_COST * rounds
     lateness = min(1.0, (rounds - 1) / LATE_ROUNDS)
--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -356,7 +356,7 @@
                 server_id,
                 born_ms,
                 saw.reason,
-                saw.slow,
+                saw.symptom.value,
                 saw.requests,
             )
         )
@@ -368,7 +368,7 @@
                     (warning.server_id, warning.born_ms),
                     warning.host,
                     warning.reason,
-                    warning.slow,
+                    outcomes.Symptom(warning.symptom),
                     warning.requests,
                 )
             )
@@ -376,12 +376,15 @@
     def _share_load(self, saw: messages.SawLoad) -> None:
         server_id, born_ms = saw.server
         load = saw.load
-        # Between data centres the bytes cost more than they are worth.
+        # Between data centres the bytes cost more than they are worth,
+        # except to keep work from a server that has no free slot.
+        is_full = load.running + load.waiting >= load.slots
+        near = self._settings.place.data_centre
         self._tell_peers(
             protocol.ServerLoad(
                 server_id, born_ms, load.running, load.waiting, load.slots
             ),
-            data_centre=self._settings.place.data_centre,
+            data_centre=None if is_full else near,
         )
 
     def _take_load(self, told: protocol.ServerLoad) -> None:
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -90,7 +90,7 @@
         self._views: dict[tuple[str, int], _View] = {}
         self._by_service: dict[str, list[_View]] = {}
         self._hosts = 1
-        self._avoidance = avoidance.Avoidance(self._random)
+        self._avoidance = avoidance.Avoidance()
         self._budgets: dict[str, budget.RepeatBudget] = (
             collections.defaultdict(
                 lambda: budget.RepeatBudget(settings.bounds)
@@ -380,24 +380,24 @@
             case outcomes.AnotherServer():
                 view.closed_until_ms = now_ms + UNREACHABLE_MS
         key = view.server.incarnation
-        if outcomes.is_failure(result):
+        symptom = outcomes.symptom(result)
+        if symptom is not None:
             load = self._loads[request.service]
             load.note_unserved(now_ms)
-            slow = isinstance(result, outcomes.TimedOut)
-            noted = self._avoidance.note_failure(key, slow, now_ms)
+            noted = self._avoidance.note_failure(key, symptom, now_ms)
             self._core.tell(
                 messages.SawFailure(
-                    key, _reason(result), slow, load.requests(now_ms)
+                    key, _reason(result), symptom, load.requests(now_ms)
                 )
             )
             log.info(
-                'server avoided',
+                'server suspected',
                 extra={
                     'request_id': request.request_id,
                     'server': key[0],
                     'reason': _reason(result),
                     'failures': noted.failures,
-                    'for_ms': noted.until_ms - now_ms,
+                    'odds': round(noted.odds, 2),
                 },
             )
         elif isinstance(result, outcomes.Answered):
@@ -412,10 +412,10 @@
 
     def _note_success(self, request: _Request, started_ms: int) -> None:
         key = request.view.server.incarnation
-        if self._avoidance.note_success(key, started_ms):
+        if self._avoidance.note_success(key, started_ms, self._time.now_ms()):
             self._core.tell(messages.SawRecovery(key))
             log.info(
-                'server trusted again',
+                'server trusted more',
                 extra={
                     'request_id': request.request_id,
                     'server': key[0],
@@ -423,9 +423,10 @@
             )
 
     def _take_peer_recovery(self, server: tuple[str, int], host: str) -> None:
-        if self._avoidance.note_success(server, self._time.now_ms()):
+        now_ms = self._time.now_ms()
+        if self._avoidance.note_success(server, now_ms, now_ms):
             log.info(
-                'server trusted again',
+                'server trusted more',
                 extra={'server': server[0], 'seen_by': host},
             )
 
@@ -436,15 +437,15 @@
         now_ms = self._time.now_ms()
         service = self._views[server].server.service
         self._loads[service].note_peer_failure(saw.requests, now_ms)
-        noted = self._avoidance.note_failure(server, saw.slow, now_ms)
+        noted = self._avoidance.note_failure(server, saw.symptom, now_ms)
         log.info(
-            'server avoided',
+            'server suspected',
             extra={
                 'server': server[0],
                 'seen_by': saw.host,
                 'reason': saw.reason,
                 'failures': noted.failures,
-                'for_ms': noted.until_ms - now_ms,
+                'odds': round(noted.odds, 2),
             },
         )
 
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -94,7 +94,7 @@
     server: tuple[str, int]
     host: str
     reason: str
-    slow: bool
+    symptom: outcomes.Symptom
     requests: int
 
 
@@ -104,7 +104,7 @@
 
     server: tuple[str, int]
     reason: str
-    slow: bool
+    symptom: outcomes.Symptom
     requests: int
 
 
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -1,5 +1,7 @@
 """Messages that the processes of the fleet exchange."""
 
+from typing import Literal
+
 import msgspec
 
 
@@ -269,7 +271,7 @@
     server_id: str
     born_ms: int
     reason: str
-    slow: bool
+    symptom: Literal['error', 'broken', 'silent']
     # What the sender was asked lately for the server's service.
     requests: int
 
