Take over changed settings, and hold callers to the operators' limits

Cause: SIGHUP ended the process, a changed settings file was not seen, and heads, bodies and idle time of callers had bounds of the program's own. A part of a request's head, sent behind other requests, held up their finished answers until the rest came or the connection timed out.

Change: a task looks at the settings file twice a second and at SIGHUP, refuses a bad one by its field's name and keeps the last, and tells the others what is in force; fields that need a new start are named in the log. The limits of the configuration bound heads, bodies, the wait for a head and idle connections. While answers are awaited, only a whole head is read.

--- a/src/cardamomdeal/balancing/budget.py
+++ b/src/cardamomdeal/balancing/budget.py
@@ -26,6 +26,10 @@
         # When the number of hosts was seen; falling from left to right.
         self._hosts: collections.deque[tuple[int, int]] = collections.deque()
 
+    def use_bounds(self, bounds: model.Bounds) -> None:
+        """Take over changed bounds; what was spent stays spent."""
+        self._bounds = bounds
+
     def note_request(self, now_ms: int, hosts: int) -> None:
         """Count a request of a caller for the service."""
         self._requests.append(now_ms)
--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -109,6 +109,8 @@
             case messages.TasksStarted():
                 self._tasks = message
                 self._choose_reading()
+            case messages.SettingsInForce(settings):
+                self._settings = settings
             case messages.StopSoon():
                 self._stopping = True
         return None
@@ -316,6 +318,7 @@
                 },
             )
             self._tasks.dispatcher.tell(messages.RoutesInForce(table))
+            self._tasks.callers.use_limits(table.limits)
         self._tasks.dispatcher.tell(
             messages.ServersInForce(
                 self._knowledge.servers(), max(1, len(hosts))
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -93,7 +93,7 @@
         self._avoidance = avoidance.Avoidance()
         self._budgets: dict[str, budget.RepeatBudget] = (
             collections.defaultdict(
-                lambda: budget.RepeatBudget(settings.bounds)
+                lambda: budget.RepeatBudget(self._settings.bounds)
             )
         )
         self._loads: dict[str, service_load.ServiceLoad] = (
@@ -137,6 +137,10 @@
                     _note_load(self._views[server], load, self._time.now_ms())
             case messages.PeerSawRecovery(server, host):
                 self._take_peer_recovery(server, host)
+            case messages.SettingsInForce(settings):
+                self._settings = settings
+                for one in self._budgets.values():
+                    one.use_bounds(settings.bounds)
             case messages.Tick():
                 self._idle.drop_stale(self._time.now_ms())
             case messages.TakeMetrics():
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -16,6 +16,7 @@
 from cardamomdeal.entry import messages
 from cardamomdeal.entry import registrar
 from cardamomdeal.entry import server
+from cardamomdeal.entry import settings_watcher
 from cardamomdeal.entry import store_follower
 from cardamomdeal.fleet import model
 from cardamomdeal.internal import address
@@ -43,10 +44,10 @@
 def main() -> None:
     """Run an entry host from the command line."""
     path = process.settings_path(PROGRAM, 'Forward requests to servers.')
-    sys.exit(process.run(PROGRAM, lambda: _run(load.load_entry(path))))
+    sys.exit(process.run(PROGRAM, lambda: _run(path, load.load_entry(path))))
 
 
-def _run(settings: settings_model.EntrySettings) -> None:
+def _run(path: str, settings: settings_model.EntrySettings) -> None:
     log_writer = logs.configure_bounded(
         settings.name, settings.place, settings.telemetry.log_level
     )
@@ -80,7 +81,13 @@
     )
     for task in (callers, *others):
         task.start()
-    knowing.tell(messages.TasksStarted(dispatching, following, registering))
+    knowing.tell(
+        messages.TasksStarted(dispatching, following, registering, application)
+    )
+    watching = settings_watcher.SettingsWatcher.start(
+        path, settings, (knowing, dispatching, following, registering)
+    )
+    process.on_hangup(lambda: watching.tell(messages.ReloadSettings()))
     log.info('started', extra={'settings': str(settings)})
     stop.wait()
     log.info('stopping')
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import Any
+from typing import Protocol
 
 import pykka
 
@@ -12,6 +13,7 @@
 from cardamomdeal.internal import address
 from cardamomdeal.platform import store
 from cardamomdeal.protocol import messages as protocol
+from cardamomdeal.settings import model as settings_model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,6 +200,13 @@
     """Tell the registrar that this host's entry is gone from the store."""
 
 
+class CallerSide(Protocol):
+    """Serve callers within the operators' limits."""
+
+    def use_limits(self, limits: model.Limits) -> None:
+        """Bound what callers send from now on."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TasksStarted:
     """Introduce the tasks that the core talks to."""
@@ -205,6 +214,7 @@
     dispatcher: pykka.ActorRef[Any]
     follower: pykka.ActorRef[Any]
     registrar: pykka.ActorRef[Any]
+    callers: 'CallerSide'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -232,6 +242,18 @@
     """Announce that the process is stopping."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReloadSettings:
+    """Ask to read the settings file again, changed or not."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsInForce:
+    """Hand over settings that were read again."""
+
+    settings: settings_model.EntrySettings
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """Mark the passing of one interval."""
--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -3,9 +3,11 @@
 import collections
 from concurrent import futures
 import dataclasses
+import enum
 import io
 import os
 import select
+import socket
 import threading
 from typing import Any
 
@@ -13,9 +15,20 @@
 
 # Requests of one connection that are in service at once.
 MAX_PIPELINED = 16
+HEAD_END = b'\r\n\r\n'
+PEEKED_BYTES = 64 * 1024
 TIMED_OUT_STATUS = '408 Request Timeout'
 
 
+class _Arrived(enum.Enum):
+    """Say what a caller has sent beyond the requests that were read."""
+
+    NOTHING = 'nothing'
+    PART = 'part of a head'
+    # A whole head, or the end of the connection.
+    HEAD = 'head'
+
+
 class _Answering:
     """Stand in for a connection; collect the answer of one request."""
 
@@ -80,8 +93,40 @@
         return self._reading and len(self._begun) < MAX_PIPELINED
 
     def _has_request(self) -> bool:
+        """Return whether to read on.
+
+        While answers are awaited, only a head that has arrived whole is
+        read: waiting for the rest of it would hold finished answers up.
+        """
+        if self._begun:
+            return self._arrived() is _Arrived.HEAD
         if self._connection.rfile.has_data():
             return True
+        return self._is_readable()
+
+    def _arrived(self) -> '_Arrived':
+        """Look at what was not read yet, without reading it."""
+        buffered = b''
+        if self._connection.rfile.has_data():
+            buffered = self._connection.rfile.peek(1)
+        if not self._is_readable():
+            arrived = buffered
+        else:
+            try:
+                waiting = self._connection.socket.recv(
+                    PEEKED_BYTES, socket.MSG_PEEK
+                )
+            except OSError:
+                # Reading shows what went wrong with the connection.
+                return _Arrived.HEAD
+            if not waiting:
+                return _Arrived.HEAD
+            arrived = buffered + waiting
+        if HEAD_END in arrived:
+            return _Arrived.HEAD
+        return _Arrived.PART if arrived else _Arrived.NOTHING
+
+    def _is_readable(self) -> bool:
         poller = select.poll()
         poller.register(self._connection.socket, select.POLLIN)
         return bool(poller.poll(0))
@@ -91,6 +136,8 @@
         request = self._connection.RequestHandlerClass(
             self._connection.server, answering
         )
+        server = self._connection.server
+        self._connection.socket.settimeout(server.header_timeout_s)
         try:
             request.parse_request()
         except TimeoutError:
@@ -131,7 +178,8 @@
         """Wait for an answer to be ready or a request to arrive."""
         poller = select.poll()
         poller.register(self._woken, select.POLLIN)
-        if self._may_read():
+        # Bytes that are no whole head yet are left until an answer is sent.
+        if self._may_read() and self._arrived() is not _Arrived.PART:
             poller.register(self._connection.socket, select.POLLIN)
         for ready, _ in poller.poll():
             if ready == self._woken:
--- a/src/cardamomdeal/entry/registrar.py
+++ b/src/cardamomdeal/entry/registrar.py
@@ -60,6 +60,8 @@
                 self._publish()
             case messages.Unregister():
                 self._withdraw()
+            case messages.SettingsInForce(settings):
+                self._client.use_address(settings.store)
             case messages.Tick():
                 self._renew()
 
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -16,20 +16,28 @@
 from cardamomdeal.entry import errors
 from cardamomdeal.entry import forwarding
 from cardamomdeal.entry import pipeline
+from cardamomdeal.fleet import model
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import refusals
-from cardamomdeal.settings import model
+from cardamomdeal.settings import model as settings_model
 
 # An entry host sees a few requests a second, each a second long at worst;
 # this carries the load of five hosts that are gone.
 THREADS = 64
 QUEUED_CONNECTIONS = 256
 QUEUE_TIMEOUT_S = 0.05
-# Bounds of this program; the operators' own limits are not enforced yet.
-MAX_HEADER_BYTES = 64 * 1024
+# In force until a configuration states the operators' own.
+DEFAULT_LIMITS = model.Limits(
+    max_header_bytes=64 * 1024,
+    max_body_bytes=64 * 1024**2,
+    header_timeout_ms=10_000,
+    idle_timeout_ms=20_000,
+)
+# Bounds the memory that bodies take, whatever a configuration allows.
 MAX_BODY_BYTES = 64 * 1024**2
-# Longer than callers reuse an idle connection.
-IDLE_TIMEOUT_S = 20.0
+# A caller may send on an idle connection until the limit is over, and what
+# it sent is on its way for a while.
+IDLE_MARGIN_MS = 2_000
 MAX_IDLE_CONNECTIONS = 3_000
 
 log = logging.getLogger(__name__)
@@ -45,6 +53,22 @@
         self._forwarder = forwarder
         self._time = time
         self.leaving = threading.Event()
+        self._limits = DEFAULT_LIMITS
+        self._server: CallerServer | None = None
+
+    def serve_with(self, server: 'CallerServer') -> None:
+        """Name the server that runs this application."""
+        self._server = server
+        self.use_limits(self._limits)
+
+    def use_limits(self, limits: model.Limits) -> None:
+        """Bound what callers send from now on."""
+        self._limits = limits
+        if self._server is not None:
+            self._server.max_request_header_size = limits.max_header_bytes
+            self._server.header_timeout_s = limits.header_timeout_ms / 1000
+            idle_ms = limits.idle_timeout_ms + IDLE_MARGIN_MS
+            self._server.timeout = idle_ms / 1000
 
     def leave(self) -> None:
         """Ask callers to close their connections from now on."""
@@ -68,7 +92,9 @@
         arrived_at_ms = self._time.now_ms()
         request_id = ''
         try:
-            request = caller.read_request(environ, MAX_BODY_BYTES)
+            request = caller.read_request(
+                environ, min(MAX_BODY_BYTES, self._limits.max_body_bytes)
+            )
             request_id = request.request_id
             return self._forwarder.serve(request, arrived_at_ms)
         except (errors.MalformedRequest, backend_errors.RequestBodyLost) as e:
@@ -108,6 +134,8 @@
     """Give threads to connections that have sent something only."""
 
     ConnectionClass = _Connection
+    # Time for the head of a request to arrive.
+    header_timeout_s = DEFAULT_LIMITS.header_timeout_ms / 1000
 
     def prepare(self) -> None:
         """Listen and start the threads."""
@@ -135,7 +163,7 @@
 
 
 def build_server(
-    settings: model.EntrySettings, application: Application
+    settings: settings_model.EntrySettings, application: Application
 ) -> CallerServer:
     """Build the server that runs the application; it is not started."""
     built = CallerServer(
@@ -144,7 +172,6 @@
         numthreads=THREADS,
         max=THREADS,
         request_queue_size=QUEUED_CONNECTIONS,
-        timeout=IDLE_TIMEOUT_S,
         shutdown_timeout=settings.bounds.stop_grace_ms / 1000,
         accepted_queue_size=QUEUED_CONNECTIONS,
         accepted_queue_timeout=QUEUE_TIMEOUT_S,
@@ -152,6 +179,6 @@
     built.gateway = _Gateway
     built.leaving = application.leaving
     built.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-    built.max_request_header_size = MAX_HEADER_BYTES
+    application.serve_with(built)
     built.server_name = 'cardamomdeal'
     return built
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -51,6 +51,8 @@
                 self._follow(follow)
             case messages.SetRevision(revision):
                 self._revision = max(self._revision or 0, revision)
+            case messages.SettingsInForce(settings):
+                self._client.use_address(settings.store)
             case messages.Poll():
                 self._poll()
 
--- a/src/cardamomdeal/internal/process.py
+++ b/src/cardamomdeal/internal/process.py
@@ -36,6 +36,11 @@
     return EXIT_OK
 
 
+def on_hangup(act: Callable[[], None]) -> None:
+    """Call `act` at each SIGHUP, in the main thread."""
+    signal.signal(signal.SIGHUP, lambda *_: act())
+
+
 def stop_event() -> threading.Event:
     """Return an event that SIGTERM and SIGINT set."""
     event = threading.Event()
--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -105,11 +105,16 @@
     def __init__(self, at: address.Address, timeout_ms: int) -> None:
         self.calls = 0
         self._timeout_ms = timeout_ms
-        # A connection that lost an answer returns nothing further, so a
-        # failed call always closes its connection (urllib3 does so).
-        self._pool = urllib3.HTTPConnectionPool(
-            at.host, at.port, maxsize=1, retries=False
-        )
+        self._at = at
+        self._pool = _connect(at)
+
+    def use_address(self, at: address.Address) -> None:
+        """Call the store at another address from now on."""
+        if at == self._at:
+            return
+        self._pool.close()
+        self._at = at
+        self._pool = _connect(at)
 
     def get(self, key: str) -> Result[Item, errors.PlatformError]:
         """Read a key; NotFound when it does not exist."""
@@ -248,6 +253,14 @@
         return _by_status(name, answer)
 
 
+def _connect(at: address.Address) -> urllib3.HTTPConnectionPool:
+    # A connection that lost an answer returns nothing further, so a
+    # failed call always closes its connection (urllib3 does so).
+    return urllib3.HTTPConnectionPool(
+        at.host, at.port, maxsize=1, retries=False
+    )
+
+
 def _by_status(
     name: str, answer: urllib3.BaseHTTPResponse
 ) -> Result[bytes, errors.PlatformError]:
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -122,3 +122,26 @@
     metrics: address.Address
     store: address.Address
     bounds: Bounds
+
+
+# A process listens and publishes itself under these from its start on.
+_FIXED_FIELDS = (
+    'name',
+    'place',
+    'callers',
+    'readiness',
+    'directory',
+    'peers',
+    'metrics',
+)
+
+
+def fixed_fields_changed(
+    old: EntrySettings, new: EntrySettings
+) -> tuple[str, ...]:
+    """Name the changed fields that only a new start puts in force."""
+    return tuple(
+        name
+        for name in _FIXED_FIELDS
+        if getattr(old, name) != getattr(new, name)
+    )
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -172,7 +172,11 @@
             stdout=log_file,
         )
         self.processes.append(process)
-        return ports | {'log': log_file.name, 'process': process}
+        return ports | {
+            'log': log_file.name,
+            'process': process,
+            'settings': path,
+        }
 
     def wait_until(self, holds, timeout_s=START_TIMEOUT_S):
         ends_at_s = time.monotonic() + timeout_s
@@ -335,6 +339,71 @@
         # One behind the other they would take four times the latency.
         self.assertLess(took_s, 3 * LATENCY_S)
 
+    def test_part_of_a_head_does_not_hold_up_answers(self):
+        with socket.create_connection(
+            (HOST, self.entries[0]['callers']), timeout=5
+        ) as connected:
+            head = (
+                'GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n'
+                f'{wire.DEADLINE_MS}: 3000\r\n{wire.REQUEST_ID}: '
+            )
+            started_s = time.monotonic()
+            connected.sendall(f'{head}h0\r\n\r\n{head}h1\r\n'.encode())
+            answer = http.client.HTTPResponse(connected)
+            answer.fp = _Shared(connected)
+            answer.begin()
+            self.assertEqual(b'answer to h0', answer.read())
+            self.assertLess(time.monotonic() - started_s, 4 * LATENCY_S)
+            connected.sendall(b'\r\n')
+            answer = http.client.HTTPResponse(connected)
+            answer.fp = _Shared(connected)
+            answer.begin()
+            self.assertEqual(b'answer to h1', answer.read())
+
+    def test_callers_are_held_to_the_operators_limits(self):
+        at = self.entries[0]
+        large = self.send(at, 'unsafe', 'large', b'x' * 1_000_001)
+        self.assertEqual(413, large.status)
+        self.assertEqual(0, self.runs('large'))
+        with socket.create_connection(
+            (HOST, at['callers']), timeout=5
+        ) as slow:
+            slow.sendall(b'GET /safe/x HTTP/1.1\r\n')
+            # The configuration gives a head three seconds.
+            self.assertIn(b' 408 ', slow.recv(200))
+
+    def test_hangup_reloads_the_settings_and_cuts_nothing(self):
+        stopping = self.entries[0]
+        answers = []
+        caller = threading.Thread(
+            target=lambda: answers.append(
+                self.send(stopping, 'unsafe', 'during', b'x').status
+            )
+        )
+        caller.start()
+        time.sleep(LATENCY_S / 2)
+        stopping['process'].send_signal(signal.SIGHUP)
+        caller.join()
+        self.assertEqual([200], answers)
+        self.wait_until(lambda: self.logged('settings reloaded'), 3)
+
+    def test_changed_settings_are_taken_over_without_a_signal(self):
+        path = self.entries[0]['settings']
+        text = path.read_text()
+        path.write_text(text.replace('"repeat_slack": 60.0', '"oops": 1'))
+        self.wait_until(lambda: self.logged('settings refused'), 3)
+        self.assertIn('oops', self.log_text())
+        path.write_text(text.replace('60.0', '80.0'))
+        self.wait_until(lambda: self.logged('settings reloaded'), 3)
+        answer = self.send(self.entries[0], 'safe', 'after')
+        self.assertEqual(200, answer.status)
+
+    def log_text(self):
+        return pathlib.Path(self.entries[0]['log']).read_text()
+
+    def logged(self, message):
+        return message in self.log_text()
+
     def test_caller_that_left_frees_the_server(self):
         # The stand-in cannot be cancelled; the log tells what was done.
         connected = socket.create_connection(
