Use one client of the store, and one stand-in

Change: their keys and host list are read and written through the store's client. A watch goes on from where the store was read, reads again when the history was dropped, and tells a state again that was not taken over.

--- a/bench/control.py
+++ b/bench/control.py
@@ -49,7 +49,7 @@
     )
     with fleet.Fleet(document, options) as running:
         running.run_module(
-            'platform', 'devel.platform_standin', [running.platform]
+            'platform', 'devel.store_standin', [running.platform]
         )
         running.wait_until(
             lambda: fleet.listens(running.platform), 'the platform'
--- a/devel/fleet.py
+++ b/devel/fleet.py
@@ -145,7 +145,7 @@
 
     def start_standins(self) -> None:
         """Start the platform and the backend servers."""
-        self.run_module('platform', 'devel.platform_standin', [self.platform])
+        self.run_module('platform', 'devel.store_standin', [self.platform])
         servers = check_model(self.document).backend_servers
         self.run_module(
             'backends',
--- a/src/cardamomdeal/admin/main.py
+++ b/src/cardamomdeal/admin/main.py
@@ -36,7 +36,7 @@
     logs.configure(settings.name, settings.place, settings.telemetry.log_level)
     stop = process.stop_event()
     time = clock.Clock()
-    platform = client.HttpPlatform(settings.platform, STORE_CALL_TIMEOUT_MS)
+    platform = client.KeyService(settings.platform, STORE_CALL_TIMEOUT_MS)
     writer = changes.Changes(platform, settings.store_timeout_ms, time)
     operating = operations.Operations(
         settings,
--- a/src/cardamomdeal/agent/main.py
+++ b/src/cardamomdeal/agent/main.py
@@ -42,14 +42,14 @@
             settings.environment,
             incarnation,
             judge_ref,
-            client.HttpPlatform(settings.platform, STORE_TIMEOUT_MS),
+            client.KeyService(settings.platform, STORE_TIMEOUT_MS),
         )
         judge_ref.tell(messages.KeeperStarted(keeper_ref))
         core_ref.tell(messages.JudgeStarted(judge_ref))
         reader_ref = store_reader.StoreReader.start(
             settings,
             core_ref,
-            client.HttpPlatform(settings.platform, STORE_TIMEOUT_MS),
+            client.KeyService(settings.platform, STORE_TIMEOUT_MS),
             time,
         )
         core_ref.tell(messages.ReaderStarted(reader_ref))
--- a/src/cardamomdeal/platform/client.py
+++ b/src/cardamomdeal/platform/client.py
@@ -1,150 +1,132 @@
-"""Platform service over HTTP."""
+"""Single keys and the host list, read through the store's client."""
 
-from typing import Annotated
-from typing import Literal
-from urllib import parse
+import dataclasses
 
 import pydantic
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
-import urllib3
 
 from cardamomdeal.internal import address
 from cardamomdeal.platform import errors
 from cardamomdeal.platform import service
+from cardamomdeal.platform import store
 
-WATCH_MARGIN_MS = 2_000
+LISTED_HOSTS_PREFIX = 'listed-hosts/'
 
 
-class KeyModel(pydantic.BaseModel):
-    """Check the answer to a read or write."""
-
-    value: str
-    revision: Annotated[int, pydantic.Field(ge=0)]
-
-
-class HostModel(pydantic.BaseModel):
+class ListedHostModel(pydantic.BaseModel):
     """Check one entry of the host list."""
 
-    name: str
     address: str
-    state: Literal['live', 'leaving']
+    state: service.HostState
 
 
-class HostListModel(pydantic.BaseModel):
-    """Check the host list."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Seen:
+    """Hold what a watch told of a key, and how far it had read."""
 
-    hosts: list[HostModel]
+    key_revision: int
+    store_revision: int
 
 
-class HttpPlatform:
-    """Call the platform's service; one task owns each instance."""
+class KeyService:
+    """Offer single keys of the store; one task owns each instance."""
 
     def __init__(self, at: address.Address, timeout_ms: int) -> None:
-        self.calls = 0
-        self._timeout_ms = timeout_ms
-        self._pool = urllib3.HTTPConnectionPool(
-            at.host, at.port, maxsize=1, retries=False
-        )
+        self._store = store.StoreClient(at, timeout_ms)
+        self._seen: dict[str, _Seen] = {}
 
     def get(
         self, key: str
     ) -> Result[service.KeyState | None, errors.PlatformError]:
         """Read a key."""
-        return self._call('GET', f'/kv/{parse.quote(key)}').bind(_key_answer)
+        match self._store.get(key):
+            case Success(item):
+                return Success(_state(item))
+            case Failure(errors.NotFound()):
+                return Success(None)
+            case failed:
+                return failed
 
     def compare_and_swap(
         self, key: str, value: str, expected_revision: int
     ) -> Result[service.KeyState, errors.PlatformError]:
         """Write a key if its revision is the expected one."""
-        answer = self._call(
-            'PUT',
-            f'/kv/{parse.quote(key)}',
-            {'value': value, 'expected_revision': expected_revision},
-        )
-        return answer.bind(_write_answer)
+        written = self._store.write(key, value.encode(), expected_revision)
+        return written.map(lambda revision: service.KeyState(value, revision))
 
     def watch(
         self, key: str, after_revision: int, wait_ms: int
     ) -> Result[service.KeyState | None, errors.PlatformError]:
         """Wait for a newer revision; None when none came in time."""
-        answer = self._call(
-            'GET',
-            f'/watch/{parse.quote(key)}'
-            f'?after_revision={after_revision}&wait_ms={wait_ms}',
-            timeout_ms=wait_ms + WATCH_MARGIN_MS,
-        )
-        return answer.bind(_key_answer)
+        seen = self._seen.get(key)
+        if seen is None or seen.key_revision > after_revision:
+            # What was told last was not taken over, or nothing was told.
+            return self._read_again(key, after_revision)
+        match self._store.watch(key, seen.store_revision, wait_ms):
+            case Success(changes):
+                pass
+            case Failure(errors.HistoryLost()):
+                return self._read_again(key, after_revision)
+            case failed:
+                return failed
+        written = [
+            event
+            for event in changes.events
+            if event.key == key and isinstance(event, store.Item)
+        ]
+        latest = _state(written[-1]) if written else None
+        self._note(key, latest, after_revision, changes.revision)
+        return Success(latest)
 
     def hosts(
         self,
     ) -> Result[tuple[service.ListedHost, ...], errors.PlatformError]:
         """Read the host list."""
-        return self._call('GET', '/hosts').bind(_hosts_answer)
+        return self._store.range(LISTED_HOSTS_PREFIX).bind(_listed)
 
-    def _call(
+    def _read_again(
+        self, key: str, after_revision: int
+    ) -> Result[service.KeyState | None, errors.PlatformError]:
+        match self._store.range(key):
+            case Success(read):
+                pass
+            case failed:
+                return failed
+        newer = [
+            _state(item)
+            for item in read.items
+            if item.key == key and item.revision > after_revision
+        ]
+        latest = newer[0] if newer else None
+        self._note(key, latest, after_revision, read.revision)
+        return Success(latest)
+
+    def _note(
         self,
-        method: str,
-        path: str,
-        body: dict[str, object] | None = None,
-        timeout_ms: int | None = None,
-    ) -> Result[urllib3.BaseHTTPResponse, errors.PlatformError]:
-        self.calls += 1
-        try:
-            answer = self._pool.request(
-                method,
-                path,
-                json=body,
-                timeout=(timeout_ms or self._timeout_ms) / 1000,
-            )
-        except urllib3.exceptions.HTTPError as error:
-            return Failure(errors.PlatformUnavailable(str(error)))
-        if answer.status >= 500:
-            return Failure(
-                errors.PlatformUnavailable(f'status {answer.status}')
-            )
-        return Success(answer)
-
-
-def _key_answer(
-    answer: urllib3.BaseHTTPResponse,
-) -> Result[service.KeyState | None, errors.PlatformError]:
-    if answer.status in (204, 404):
-        return Success(None)
-    return _key_state(answer)
-
-
-def _write_answer(
-    answer: urllib3.BaseHTTPResponse,
-) -> Result[service.KeyState, errors.PlatformError]:
-    if answer.status == 409:
-        return Failure(errors.RevisionConflict('the key has changed'))
-    return _key_state(answer)
-
-
-def _key_state(
-    answer: urllib3.BaseHTTPResponse,
-) -> Result[service.KeyState, errors.PlatformError]:
-    try:
-        checked = KeyModel.model_validate_json(answer.data)
-    except pydantic.ValidationError as error:
-        return Failure(errors.PlatformError(f'unexpected answer: {error}'))
-    return Success(service.KeyState(checked.value, checked.revision))
-
-
-def _hosts_answer(
-    answer: urllib3.BaseHTTPResponse,
+        key: str,
+        latest: service.KeyState | None,
+        after_revision: int,
+        store_revision: int,
+    ) -> None:
+        key_revision = latest.revision if latest else after_revision
+        self._seen[key] = _Seen(key_revision, store_revision)
+
+
+def _state(item: store.Item) -> service.KeyState:
+    return service.KeyState(item.value.decode(), item.revision)
+
+
+def _listed(
+    read: store.Range,
 ) -> Result[tuple[service.ListedHost, ...], errors.PlatformError]:
-    try:
-        checked = HostListModel.model_validate_json(answer.data)
-    except pydantic.ValidationError as error:
-        return Failure(errors.PlatformError(f'unexpected answer: {error}'))
-    return Success(
-        tuple(
-            service.ListedHost(
-                host.name, host.address, service.HostState(host.state)
-            )
-            for host in checked.hosts
-        )
-    )
+    hosts: list[service.ListedHost] = []
+    for item in read.items:
+        try:
+            checked = ListedHostModel.model_validate_json(item.value)
+        except ValueError as error:
+            return Failure(errors.PlatformError(f'{item.key}: {error}'))
+        name = item.key.removeprefix(LISTED_HOSTS_PREFIX)
+        hosts.append(service.ListedHost(name, checked.address, checked.state))
+    return Success(tuple(hosts))
