Reuse idle connections for work that runs once, with caution

Cause: work that is not idempotent always opened a connection.

Change: connections that were idle for up to 3 s carry such work too. The kernel probes idle ones each second; a loss on a reused connection halves the idle time that is trusted, down to none, for 20 s. A new connection weighs a little more in placement. Watches of the store keep 150 ms apart: at a start of 48 hosts each host's entry ended each host's watch.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -8,6 +8,7 @@
 import itertools
 import re
 import select
+import socket
 from typing import Protocol
 
 import urllib3
@@ -18,6 +19,13 @@
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
 
+# Probes of an idle connection: after a second, then each second, and two
+# without a reply end it.
+IDLE_PROBES = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
 CHUNK_BYTES = 64 * 1024
 MIN_SOCKET_TIMEOUT_MS = 1
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
@@ -160,6 +168,22 @@
         """Return whether the idle connection is open and has no bytes."""
         return self.reusable and self._http.is_connected
 
+    def probe_while_idle(self) -> None:
+        """Let the kernel find out when the connection has gone silent."""
+        if self._http.sock is not None:
+            for option, value in IDLE_PROBES:
+                self._http.sock.setsockopt(socket.IPPROTO_TCP, option, value)
+            self._http.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1
+            )
+
+    def stop_probing(self) -> None:
+        """Leave it to the time limits to end an exchange."""
+        if self._http.sock is not None:
+            self._http.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0
+            )
+
     def limit_silence(self, limit: TimeLimit) -> None:
         """Bound the next read or write; raise AnswerTimedOut when late."""
         left_ms = limit.ends_at_ms - self._time.now_ms()
--- a/src/cardamomdeal/backend/idle.py
+++ b/src/cardamomdeal/backend/idle.py
@@ -20,9 +20,18 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Idle:
     connection: connection.BackendConnection
+    since_ms: int
     until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kept:
+    """Hand over a connection and tell how long it was idle."""
+
+    connection: connection.BackendConnection
+    idle_ms: int
+
+
 class IdleConnections(Generic[Server]):
     """Keep clean connections for a short time, the newest first."""
 
@@ -49,24 +58,30 @@
         ):
             returned.close()
             return
-        kept.append(_Idle(returned, now_ms + keep_ms))
+        returned.probe_while_idle()
+        kept.append(_Idle(returned, now_ms, now_ms + keep_ms))
 
     def take(
-        self, server: Server, now_ms: int
-    ) -> connection.BackendConnection | None:
-        """Return a connection that was in use a moment ago, if any."""
+        self, server: Server, now_ms: int, max_idle_ms: int = MAX_IDLE_MS
+    ) -> Kept | None:
+        """Return a connection that was in use lately, if any."""
         kept = self._idle.get(server)
-        while kept:
+        while kept and now_ms - kept[-1].since_ms <= max_idle_ms:
             idle = kept.pop()
             if now_ms <= idle.until_ms and idle.connection.is_clean():
-                return idle.connection
+                idle.connection.stop_probing()
+                return Kept(idle.connection, now_ms - idle.since_ms)
             idle.connection.close()
         return None
 
-    def has(self, server: Server, now_ms: int) -> bool:
-        """Return whether a connection to the server is kept."""
+    def has(
+        self, server: Server, now_ms: int, max_idle_ms: int = MAX_IDLE_MS
+    ) -> bool:
+        """Return whether `take` has a connection, if it is clean."""
         kept = self._idle.get(server)
-        return bool(kept) and now_ms <= kept[-1].until_ms
+        if not kept or now_ms > kept[-1].until_ms:
+            return False
+        return now_ms - kept[-1].since_ms <= max_idle_ms
 
     def servers(self) -> tuple[Server, ...]:
         """Return the servers to which connections are kept."""
--- a/src/cardamomdeal/balancing/placement.py
+++ b/src/cardamomdeal/balancing/placement.py
@@ -18,7 +18,7 @@
 # Costs are chances that the caller does not get its answer in time. The
 # small ones only decide between servers that are alike otherwise.
 OTHER_DATA_CENTRE_COST = 0.1
-NEW_CONNECTION_COST = 0.01
+NEW_CONNECTION_COST = 0.04
 BUSY_SLOT_COST = 0.2
 # A server that started a moment ago works at about half its speed.
 COLD_COST = 0.1
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -14,6 +14,7 @@
 from cardamomdeal.balancing import budget
 from cardamomdeal.balancing import outcomes
 from cardamomdeal.balancing import placement
+from cardamomdeal.balancing import reuse
 from cardamomdeal.balancing import second_chance
 from cardamomdeal.balancing import service_load
 from cardamomdeal.entry import messages
@@ -70,6 +71,8 @@
     tried: set[tuple[str, int]]
     sent_attempts: int = 1
     unsent_attempts: int = 0
+    # How long the connection of the attempt had been idle; None if new.
+    kept_idle_ms: int | None = None
 
 
 class Dispatcher(actor.Actor):
@@ -102,6 +105,7 @@
         self._idle: idle.IdleConnections[tuple[str, int]] = (
             idle.IdleConnections()
         )
+        self._reuse = reuse.ReuseLimit()
         self._requests: dict[int, _Request] = {}
         self._next_ticket = 1
         self._counters: collections.Counter[str] = collections.Counter()
@@ -209,8 +213,9 @@
         tried: set[tuple[str, int]],
         now_ms: int,
     ) -> _View | None:
+        max_idle_ms = self._max_idle_ms(route, now_ms)
         candidates = [
-            self._candidate(view, now_ms)
+            self._candidate(view, max_idle_ms, now_ms)
             for view in self._by_service.get(service, ())
             if view.server.incarnation not in tried
         ]
@@ -252,7 +257,18 @@
             self._settings.bounds.capacity_floor,
         )
 
-    def _candidate(self, view: _View, now_ms: int) -> placement.Candidate:
+    def _max_idle_ms(self, route: model.Route, now_ms: int) -> int:
+        match route.kind:
+            case model.Idempotent():
+                return idle.MAX_IDLE_MS
+            case model.NonIdempotent() | model.Upload():
+                # The connection may have gone silent, and the request
+                # could not be sent again.
+                return self._reuse.limit_ms(now_ms)
+
+    def _candidate(
+        self, view: _View, max_idle_ms: int, now_ms: int
+    ) -> placement.Candidate:
         key = view.server.incarnation
         return placement.Candidate(
             server=view.server,
@@ -262,7 +278,7 @@
             sent_since_load=view.sent_since_load,
             suspicion=self._avoidance.suspicion(key),
             closed_until_ms=view.closed_until_ms,
-            has_idle_connection=self._idle.has(key, now_ms),
+            has_idle_connection=self._idle.has(key, now_ms, max_idle_ms),
             cold_until_ms=view.seen_at_ms + view.server.slow_start_ms,
         )
 
@@ -270,23 +286,20 @@
         view = request.view
         view.in_flight += 1
         view.sent_since_load += 1
-        kept = None
-        match request.route.kind:
-            case model.Idempotent():
-                kept = self._idle.take(
-                    view.server.incarnation, self._time.now_ms()
-                )
-            case model.NonIdempotent() | model.Upload():
-                # A kept connection may have gone silent, and the request
-                # could not be sent again.
-                pass
+        now_ms = self._time.now_ms()
+        kept = self._idle.take(
+            view.server.incarnation,
+            now_ms,
+            self._max_idle_ms(request.route, now_ms),
+        )
+        request.kept_idle_ms = kept.idle_ms if kept else None
         self._counters['attempts'] += 1
         self._counters['connections_reused'] += kept is not None
         return messages.Assigned(
             ticket,
             request.route,
             view.server,
-            kept,
+            kept.connection if kept else None,
             request.ends_at_ms,
             request.sent_attempts + request.unsent_attempts,
         )
@@ -370,6 +383,7 @@
         view = request.view
         view.in_flight -= 1
         self._counters[f'results.{type(result).__name__}'] += 1
+        self._note_connection(request, result, now_ms)
         match result:
             case outcomes.Answered(_, latency_ms, load):
                 self._histograms.record(
@@ -407,6 +421,22 @@
         elif isinstance(result, outcomes.Answered):
             self._note_success(request, now_ms - result.latency_ms)
 
+    def _note_connection(
+        self, request: _Request, result: outcomes.AttemptResult, now_ms: int
+    ) -> None:
+        match (request.kept_idle_ms, result):
+            case (int(idle_ms), outcomes.Broken() | outcomes.TimedOut()):
+                self._reuse.note_lost(idle_ms, now_ms)
+                log.info(
+                    'idle connection lost',
+                    extra={
+                        'request_id': request.request_id,
+                        'server': request.view.server.server_id,
+                        'idle_ms': idle_ms,
+                        'reuse_limit_ms': self._reuse.limit_ms(now_ms),
+                    },
+                )
+
     def _take_load(
         self, view: _View, load: outcomes.Load | None, now_ms: int
     ) -> None:
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -65,7 +65,7 @@
     knowing = core.Core.start(settings, host, time)
     dispatching = dispatcher.Dispatcher.start(settings, knowing, time)
     following = store_follower.StoreFollower.start(
-        knowing, store.StoreClient(settings.store, STORE_TIMEOUT_MS)
+        knowing, store.StoreClient(settings.store, STORE_TIMEOUT_MS), time
     )
     registering = registrar.Registrar.start(
         host, store.StoreClient(settings.store, STORE_TIMEOUT_MS)
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -18,6 +18,9 @@
 # A watch that is answered late only shows a silent connection when its
 # wait is over, so the wait is a good part of the time to notice a change.
 WATCH_MS = 700
+# Least time between two calls: when many hosts start at once, each of their
+# entries would end a watch of each of them.
+CALL_GAP_MS = 150
 EVERYTHING = ''
 
 log = logging.getLogger(__name__)
@@ -27,9 +30,14 @@
     """Own the connection that watches the store."""
 
     def __init__(
-        self, core: pykka.ActorRef[Any], client: store.StoreClient
+        self,
+        core: pykka.ActorRef[Any],
+        client: store.StoreClient,
+        time: clock.Clock,
     ) -> None:
         super().__init__()
+        self._time = time
+        self._called_at_ms = 0
         self._core = core
         self._client = client
         self._revision: int | None = None
@@ -66,6 +74,10 @@
         if not self._following:
             self._polling = False
             return
+        left_ms = self._called_at_ms + CALL_GAP_MS - self._time.now_ms()
+        if left_ms > 0:
+            clock.wait_ms(self._pause, left_ms)
+        self._called_at_ms = self._time.now_ms()
         match self._read_on():
             case Success(news):
                 self._revision = news.revision
--- a/src/cardamomdeal/gateway/dispatcher.py
+++ b/src/cardamomdeal/gateway/dispatcher.py
@@ -155,7 +155,8 @@
             # An idle connection may have gone silent. Work that is sent at
             # most once does not take that risk.
             return None
-        return self._idle.take(request.view.server.name, self._time.now_ms())
+        kept = self._idle.take(request.view.server.name, self._time.now_ms())
+        return kept.connection if kept else None
 
     def _choose(
         self, kind: model.WorkKind, excluded: frozenset[str]
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -34,6 +34,7 @@
         self.port = fleet.free_port()
         self.mode = 'work'
         self.runs = collections.Counter()
+        self.connections = set()
         self.bodies = {}
         self._server = wsgi.Server(
             (HOST, self.port), self._serve, numthreads=16, max=16
@@ -59,6 +60,7 @@
         ).encode()
 
     def _serve(self, environ, start_response):
+        self.connections.add(environ['REMOTE_PORT'])
         request_id = environ['HTTP_CARDAMOMDEAL_REQUEST_ID']
         body = environ['wsgi.input'].read(
             int(environ.get('CONTENT_LENGTH') or 0)
@@ -360,6 +362,14 @@
             answer.begin()
             self.assertEqual(b'answer to h1', answer.read())
 
+    def test_work_that_runs_once_reuses_connections_for_a_moment(self):
+        self.store.remove('servers/i-2')
+        time.sleep(1)
+        for n in range(4):
+            answer = self.send(self.entries[0], 'unsafe', f'c{n}', b'x')
+            self.assertEqual(200, answer.status)
+        self.assertEqual(1, len(self.backends[0].connections))
+
     def test_callers_are_held_to_the_operators_limits(self):
         at = self.entries[0]
         large = self.send(at, 'unsafe', 'large', b'x' * 1_000_001)
--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -8,6 +8,7 @@
 from cardamomdeal.balancing import budget
 from cardamomdeal.balancing import outcomes
 from cardamomdeal.balancing import placement
+from cardamomdeal.balancing import reuse
 from cardamomdeal.balancing import second_chance
 from cardamomdeal.balancing import service_load
 from cardamomdeal.fleet import model
@@ -307,6 +308,25 @@
         self.assertLessEqual(found.share, second_chance.MAX_SHARE)
 
 
+class ReuseLimitTest(unittest.TestCase):
+    def setUp(self):
+        self.limit = reuse.ReuseLimit()
+
+    def test_loss_halves_the_time_that_connections_are_trusted(self):
+        self.limit.note_lost(2_000, 10_000)
+        self.assertEqual(1_000, self.limit.limit_ms(10_001))
+
+    def test_losses_after_ever_shorter_times_end_reuse(self):
+        self.limit.note_lost(2_000, 10_000)
+        self.limit.note_lost(600, 10_100)
+        self.assertEqual(0, self.limit.limit_ms(10_101))
+
+    def test_trust_returns(self):
+        self.limit.note_lost(100, 10_000)
+        later_ms = 10_000 + reuse.CAUTION_MS
+        self.assertEqual(reuse.USUAL_IDLE_MS, self.limit.limit_ms(later_ms))
+
+
 class ServiceLoadTest(unittest.TestCase):
     def test_failures_of_all_hosts_against_requests_of_all(self):
         load = service_load.ServiceLoad()
