End a stopping process in time even if its stop is held up

A whole process whose log nobody reads was still there after its grace time before, and ends with code 0 now (tests.process.test_entry).

--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -37,6 +37,9 @@
 SERVE_ON_SHARE = 0.6
 # Left for ending the process after the last answer.
 EXIT_MARGIN_MS = 700
+# A process that is starved of its processor ends itself this long before it
+# would be killed, whatever it is doing.
+LAST_EXIT_MARGIN_MS = 250
 
 log = logging.getLogger(__name__)
 
@@ -91,6 +94,7 @@
     log.info('started', extra={'settings': str(settings)})
     stop.wait()
     log.info('stopping')
+    _end_within(settings.bounds.stop_grace_ms - LAST_EXIT_MARGIN_MS)
     registering.tell(messages.Unregister())
     knowing.tell(messages.StopSoon())
     _serve_on(settings, application, callers)
@@ -102,6 +106,13 @@
     os._exit(process.EXIT_OK)
 
 
+def _end_within(limit_ms: int) -> None:
+    """End the process in time even if something holds its stop up."""
+    ending = threading.Timer(limit_ms / 1000, os._exit, (process.EXIT_OK,))
+    ending.daemon = True
+    ending.start()
+
+
 def _small_server(at: address.Address, application: Any) -> Any:
     return serving.ServerTask(
         wsgi.Server(
