Keep the datagram task alive when a message is too large

Cause: a message over 4 MB (a large configuration changed many times) raised in the task that owns the datagrams between hosts and ended it; the host would hear of nothing any more.

Change: such a message is logged and dropped like one over the size of a datagram. The queue that wakes a task out of its poll, which stood in both channel tasks, is a class of its own.

--- a/src/cardamomdeal/channels/datagrams.py
+++ b/src/cardamomdeal/channels/datagrams.py
@@ -3,8 +3,6 @@
 import contextlib
 import dataclasses
 import logging
-import os
-import queue
 import select
 import socket
 import threading
@@ -14,9 +12,11 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cardamomdeal.channels import commands
 from cardamomdeal.channels import errors
 from cardamomdeal.internal import address
 from cardamomdeal.protocol import codec
+from cardamomdeal.protocol import errors as protocol_errors
 from cardamomdeal.protocol import messages
 
 # Largest payload of one datagram over IPv4, with room for headers.
@@ -63,10 +63,9 @@
         """Listen at once; raise AddressUnavailable when that fails."""
         super().__init__(name='datagrams', daemon=True)
         self._owner = owner
-        self._commands: queue.Queue[Command] = queue.Queue(QUEUED_COMMANDS)
-        self._wake_read, self._wake_write = os.pipe()
-        os.set_blocking(self._wake_read, False)
-        os.set_blocking(self._wake_write, False)
+        self._commands: commands.CommandQueue[Command] = commands.CommandQueue(
+            QUEUED_COMMANDS
+        )
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         try:
@@ -79,48 +78,48 @@
 
     def command(self, command: Command) -> bool:
         """Hand over a command; return False when the queue is full."""
-        try:
-            self._commands.put_nowait(command)
-        except queue.Full:
-            return False
-        # A full pipe wakes the task as well as one more byte would.
-        with contextlib.suppress(BlockingIOError):
-            os.write(self._wake_write, b'\0')
-        return True
+        return self._commands.put(command)
 
     def run(self) -> None:
         """Move messages until told to stop."""
         poller = select.poll()
-        poller.register(self._wake_read, select.POLLIN)
+        poller.register(self._commands.wake_descriptor, select.POLLIN)
         poller.register(self._socket, select.POLLIN)
         running = True
         while running:
             for ready, _ in poller.poll():
-                if ready == self._wake_read:
+                if ready == self._commands.wake_descriptor:
                     running = self._run_commands()
                 else:
                     self._receive()
         self._socket.close()
-        os.close(self._wake_read)
-        os.close(self._wake_write)
+        self._commands.close()
 
     def _run_commands(self) -> bool:
-        with contextlib.suppress(BlockingIOError):
-            os.read(self._wake_read, QUEUED_COMMANDS)
-        while True:
-            try:
-                command = self._commands.get_nowait()
-            except queue.Empty:
-                return True
+        for command in self._commands.take_all():
             match command:
                 case SendTo(to, message):
-                    self._send(to, codec.encode(message))
+                    self._send(to, message)
                 case StopSending():
                     return False
+        return True
 
-    def _send(self, to: tuple[address.Address, ...], data: bytes) -> None:
+    def _send(
+        self, to: tuple[address.Address, ...], message: messages.AnyMessage
+    ) -> None:
+        try:
+            data = codec.encode(message)
+        except protocol_errors.ProtocolError as error:
+            log.warning('message not sent', extra={'reason': str(error)})
+            return
         if len(data) > MAX_DATAGRAM_BYTES:
-            log.warning('message too large', extra={'size_bytes': len(data)})
+            log.warning(
+                'message too large for a datagram',
+                extra={
+                    'kind': type(message).__name__,
+                    'size_bytes': len(data),
+                },
+            )
             return
         for target in to:
             try:
--- a/src/cardamomdeal/channels/task.py
+++ b/src/cardamomdeal/channels/task.py
@@ -2,8 +2,6 @@
 
 import contextlib
 import dataclasses
-import os
-import queue
 import threading
 from typing import Any
 
@@ -12,6 +10,7 @@
 from returns.result import Success
 import zmq
 
+from cardamomdeal.channels import commands
 from cardamomdeal.channels import errors
 from cardamomdeal.channels import messages
 from cardamomdeal.channels import outbox
@@ -38,15 +37,12 @@
         """Listen at once; raise AddressUnavailable when that fails."""
         super().__init__(name='channel', daemon=True)
         self._owner = owner
-        self._commands: queue.Queue[messages.Command] = queue.Queue(
-            QUEUE_MESSAGES
+        self._commands: commands.CommandQueue[messages.Command] = (
+            commands.CommandQueue(QUEUE_MESSAGES)
         )
-        self._wake_read, self._wake_write = os.pipe()
-        os.set_blocking(self._wake_read, False)
-        os.set_blocking(self._wake_write, False)
         self._context = zmq.Context()
         self._poller = zmq.Poller()
-        self._poller.register(self._wake_read, zmq.POLLIN)
+        self._poller.register(self._commands.wake_descriptor, zmq.POLLIN)
         self._peers: dict[messages.Peer, zmq.Socket[bytes]] = {}
         self._senders: dict[zmq.Socket[bytes], messages.Peer] = {}
         self._outboxes: dict[messages.Peer, outbox.Outbox] = {}
@@ -57,21 +53,14 @@
 
     def command(self, command: messages.Command) -> bool:
         """Hand over a command; return False when the queue is full."""
-        try:
-            self._commands.put_nowait(command)
-        except queue.Full:
-            return False
-        # A full pipe wakes the task as well as one more byte would.
-        with contextlib.suppress(BlockingIOError):
-            os.write(self._wake_write, b'\0')
-        return True
+        return self._commands.put(command)
 
     def run(self) -> None:
         """Move messages until told to stop."""
         running = True
         while running:
             ready = dict(self._poller.poll(self._poll_timeout_ms()))
-            if self._wake_read in ready:
+            if self._commands.wake_descriptor in ready:
                 running = self._run_commands()
             for source, events in ready.items():
                 if isinstance(source, zmq.Socket) and not source.closed:
@@ -135,13 +124,7 @@
         return opened
 
     def _run_commands(self) -> bool:
-        with contextlib.suppress(BlockingIOError):
-            os.read(self._wake_read, QUEUE_MESSAGES)
-        while True:
-            try:
-                command = self._commands.get_nowait()
-            except queue.Empty:
-                return True
+        for command in self._commands.take_all():
             match command:
                 case messages.Send():
                     self._send(command)
@@ -149,6 +132,7 @@
                     self._forget(peer)
                 case messages.Stop():
                     return False
+        return True
 
     def _send(self, command: messages.Send) -> None:
         data = codec.encode(command.message)
@@ -250,5 +234,4 @@
 
     def _close(self) -> None:
         self._context.destroy(linger=0)
-        os.close(self._wake_read)
-        os.close(self._wake_write)
+        self._commands.close()
