Read changes from the store soon when they cannot be told

Cause: a change larger than a datagram reached hosts that do not read the store only once their view counted as stale, after 1.2 s and a tick, with two seconds allowed.

Change: a host that hears of changes and has not got them after 0.5 s reads them itself. The decision, with the age of the view, is a class of its own beside the reader's duty.

--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -9,6 +9,7 @@
 from cardamomdeal.channels import datagrams
 from cardamomdeal.entry import knowledge
 from cardamomdeal.entry import messages
+from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import readers
 from cardamomdeal.internal import actor
@@ -20,8 +21,6 @@
 from cardamomdeal.settings import model as settings_model
 
 TICK_MS = 300
-# A view that no reader confirmed for this long is this host's to refresh.
-STALE_MS = 1_200
 # Pauses between failed calls: short for the hosts that read for all, long
 # for the others, which would only add to the load of a store in trouble.
 READER_RETRY_MS = 400
@@ -58,7 +57,7 @@
         )
         # Changes after this revision are all in the queue above.
         self._changes_after = 0
-        self._confirmed_at_ms: int | None = None
+        self._freshness = freshness.Freshness()
         self._store_away = False
         self._asked_at_ms = 0
         self._stopping = False
@@ -120,7 +119,7 @@
         if self._knowledge.expire(now_ms):
             self._publish()
         self._choose_reading()
-        if self._reading and self._confirmed_at_ms is not None:
+        if self._reading and self._freshness.was_confirmed:
             self._tell_progress()
 
     def _choose_reading(self) -> None:
@@ -128,7 +127,9 @@
         if self._tasks is None:
             return
         now_ms = self._time.now_ms()
-        reads = self._readers.is_reader(now_ms) or self._age_ms() > STALE_MS
+        reads = self._readers.is_reader(
+            now_ms
+        ) or self._freshness.needs_reading(now_ms)
         if reads != self._reading:
             self._reading = reads
             log.info(
@@ -141,9 +142,7 @@
         self._tasks.follower.tell(messages.FollowStore(reads, retry_ms))
 
     def _age_ms(self) -> int:
-        if self._confirmed_at_ms is None:
-            return STALE_MS + 1
-        return self._time.now_ms() - self._confirmed_at_ms
+        return self._freshness.age_ms(self._time.now_ms())
 
     def _tell_progress(self) -> None:
         self._tell_peers(
@@ -193,9 +192,10 @@
         if self._knowledge.is_empty:
             return
         if revision > self._knowledge.revision:
+            self._freshness.note_behind(now_ms)
             self._ask_changes(sender, now_ms)
         elif revision == self._knowledge.revision:
-            self._confirm(now_ms - age_ms)
+            self._freshness.confirm(now_ms - age_ms)
 
     def _ask_changes(self, sender: address.Address, now_ms: int) -> None:
         if self._knowledge.is_empty or self._asked_at_ms == now_ms:
@@ -234,7 +234,8 @@
         self._knowledge.replace(read.items, read.revision, now_ms)
         self._changes.clear()
         self._changes_after = self._knowledge.revision
-        self._confirm(now_ms)
+        self._freshness.note_caught_up()
+        self._freshness.confirm(now_ms)
         self._publish()
 
     def _take_changes(
@@ -261,7 +262,7 @@
                     tuple(_entry(event) for event in events),
                 )
             )
-        self._confirm(now_ms)
+        self._freshness.confirm(now_ms)
 
     def _apply(self, events: tuple[store.Event, ...], revision: int) -> bool:
         """Take over changes; return whether there was any news."""
@@ -279,15 +280,13 @@
             )
         self._changes.extend(_entry(event) for event in fresh)
         self._knowledge.revision = revision
+        self._freshness.note_caught_up()
         if self._tasks is not None:
             self._tasks.follower.tell(messages.SetRevision(revision))
         if fresh:
             self._publish()
         return bool(fresh)
 
-    def _confirm(self, at_ms: int) -> None:
-        self._confirmed_at_ms = max(self._confirmed_at_ms or 0, at_ms)
-
     def _note_store_failed(self, reason: str) -> None:
         if not self._store_away:
             self._store_away = True
@@ -297,7 +296,7 @@
             )
 
     def _note_store_answered(self, now_ms: int) -> None:
-        if self._store_away or self._age_ms() > STALE_MS:
+        if self._store_away or self._freshness.is_stale(now_ms):
             self._store_away = False
             self._knowledge.note_store_returned(now_ms)
             log.info('store regained', extra={'view_age_ms': self._age_ms()})
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -25,6 +25,7 @@
 HOST = '127.0.0.1'
 LATENCY_S = 0.15
 GRACE_S = 6
+KINDS = ('safe', 'unsafe', 'upload')
 
 
 class Backend:
@@ -108,10 +109,18 @@
                 process.kill()
             process.wait()
 
-    def configure(self, version, kinds):
+    def configure(self, version, names):
         routes = [
-            [kind, 'shop.example', f'/{kind}/', kind, '2000ms', 2, 'lager']
-            for kind in kinds
+            [
+                name,
+                'shop.example',
+                f'/{name}/',
+                name if name in KINDS else 'safe',
+                '2000ms',
+                2,
+                'lager',
+            ]
+            for name in names
         ]
         value = {
             'version': version,
@@ -289,6 +298,18 @@
             answer = self.send(at, 'upload', f'u{at["callers"]}', b'x')
             self.assertEqual(200, answer.status)
 
+    def test_large_change_is_in_force_at_every_host_within_two_seconds(self):
+        # Two hosts read the store; what they tell the third is too large
+        # for a datagram.
+        self.entries.append(self.start('entry-3'))
+        self.wait_until_ready(self.entries[-1])
+        time.sleep(2)
+        self.configure(2, [f'kind-{n}' for n in range(3_000)] + ['upload'])
+        time.sleep(1.8)
+        for at in self.entries:
+            answer = self.send(at, 'upload', f'u{at["callers"]}', b'x')
+            self.assertEqual(200, answer.status)
+
     def test_serving_goes_on_while_the_store_is_away(self):
         self.store.trouble = store_standin.Trouble.BUSY
         time.sleep(2)
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -9,6 +9,7 @@
 
 from cardamomdeal.balancing import outcomes
 from cardamomdeal.entry import knowledge
+from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import readers
 from cardamomdeal.fleet import registry
@@ -121,6 +122,30 @@
                 self.fail(f'accepted: {read}')
 
 
+class FreshnessTest(unittest.TestCase):
+    """Replay a change that is too large to be told, at 10 s."""
+
+    def setUp(self):
+        self.view = freshness.Freshness()
+        self.view.confirm(10_000)
+
+    def test_confirmed_view_is_not_read_again(self):
+        self.assertFalse(self.view.needs_reading(10_900))
+
+    def test_view_that_nobody_confirms_is_read(self):
+        self.assertTrue(self.view.needs_reading(11_300))
+
+    def test_changes_that_do_not_arrive_are_read_early(self):
+        for now_ms in (10_100, 10_400, 10_700):
+            self.view.note_behind(now_ms)
+        self.assertTrue(self.view.needs_reading(10_700))
+
+    def test_changes_that_arrive_late_need_no_reading(self):
+        self.view.note_behind(10_100)
+        self.view.note_caught_up()
+        self.assertFalse(self.view.needs_reading(10_700))
+
+
 class ServerEntryTest(unittest.TestCase):
     def test_whole_entry(self):
         match entries.read_server('i-1', encoded(SERVER)):
