Tell all hosts of an address that another server took over

Change: the answer counts as certain evidence that the server is gone and is told to all hosts; such a server gets no second chances, and the attempt does not count as lost work. A request without a load report logs no age for it.

The whole-fleet test fails on the code before (2 of 2). It failed once in five runs after the change, since the second host was not known yet when the first warned its peers; it now waits for that, and passed 6 of 6.

--- a/src/cardamomdeal/balancing/avoidance.py
+++ b/src/cardamomdeal/balancing/avoidance.py
@@ -19,6 +19,8 @@
 ERROR_LIKELIHOOD = 75.0
 BROKEN_LIKELIHOOD = 40.0
 SILENT_LIKELIHOOD = 15.0
+# No server that is still there has another one at its address.
+REPLACED_LIKELIHOOD = 1e6
 # Bad servers still serve some requests.
 SUCCESS_LIKELIHOOD = 0.12
 # Beyond this, a server that works again would be avoided for too long.
@@ -36,8 +38,8 @@
     odds: float
     noted_at_ms: int
     failures: int
-    # It gave no answer in time, so trying it again costs a long wait.
-    slow: bool
+    # How it failed last.
+    symptom: outcomes.Symptom
     failed_at_ms: int
 
     def probability(self, now_ms: int) -> float:
@@ -68,7 +70,7 @@
             min(MAX_ODDS, odds),
             now_ms,
             known.failures + 1 if known else 1,
-            symptom is outcomes.Symptom.SILENT,
+            symptom,
             now_ms,
         )
         self._suspicions[server] = noted
@@ -119,3 +121,5 @@
             return BROKEN_LIKELIHOOD
         case outcomes.Symptom.SILENT:
             return SILENT_LIKELIHOOD
+        case outcomes.Symptom.REPLACED:
+            return REPLACED_LIKELIHOOD
--- a/src/cardamomdeal/balancing/outcomes.py
+++ b/src/cardamomdeal/balancing/outcomes.py
@@ -92,6 +92,8 @@
     ERROR = 'error'
     BROKEN = 'broken'
     SILENT = 'silent'
+    # Its address answers for another server, so this one is gone.
+    REPLACED = 'replaced'
 
 
 def symptom(result: AttemptResult) -> Symptom | None:
@@ -103,5 +105,7 @@
             return Symptom.BROKEN
         case TimedOut():
             return Symptom.SILENT
+        case AnotherServer():
+            return Symptom.REPLACED
         case _:
             return None
--- a/src/cardamomdeal/balancing/second_chance.py
+++ b/src/cardamomdeal/balancing/second_chance.py
@@ -5,6 +5,7 @@
 import math
 
 from cardamomdeal.balancing import avoidance
+from cardamomdeal.balancing import outcomes
 
 # Above this share of failed attempts the capacity floor binds: avoiding
 # servers has not helped enough, and some that are avoided may be sound.
@@ -19,6 +20,9 @@
 # the price of one repeat if it does not.
 PROBE_PAUSE_MS = 1_000
 PROBE_PER_S = 0.7
+# Trying a silent server again costs a long wait, and one that was replaced
+# does not come back.
+PROBED_SYMPTOMS = (outcomes.Symptom.ERROR, outcomes.Symptom.BROKEN)
 # At most this share of a service's requests takes such a risk.
 MAX_SHARE = 0.25
 
@@ -60,6 +64,7 @@
             place
             for place, suspicion in enumerate(avoided)
             if now_ms - suspicion.failed_at_ms > FLOOR_PAUSE_MS
+            and suspicion.symptom is not outcomes.Symptom.REPLACED
         ]
         return _chances(places[:missing], FLOOR_PER_S, service)
     if repeatable:
@@ -67,7 +72,7 @@
             place
             for place, suspicion in enumerate(avoided)
             if now_ms - suspicion.failed_at_ms > PROBE_PAUSE_MS
-            and not suspicion.slow
+            and suspicion.symptom in PROBED_SYMPTOMS
         ]
         return _chances(places, PROBE_PER_S, service)
     return NONE
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -240,7 +240,7 @@
                 'server': chosen.server.server_id,
                 'in_flight': chosen.in_flight,
                 'load': chosen.load and dataclasses.astuple(chosen.load),
-                'load_age_ms': now_ms - chosen.load_at_ms,
+                'load_age_ms': chosen.load and now_ms - chosen.load_at_ms,
                 'eligible_servers': choice.eligible,
                 'servers': choice.servers,
                 'second_chance': choice.second_chance,
@@ -401,7 +401,8 @@
         symptom = outcomes.symptom(result)
         if symptom is not None:
             load = self._loads[request.service]
-            load.note_unserved(now_ms)
+            if outcomes.may_have_run(result):
+                load.note_unserved(now_ms)
             noted = self._avoidance.note_failure(key, symptom, now_ms)
             self._core.tell(
                 messages.SawFailure(
@@ -470,7 +471,9 @@
             return
         now_ms = self._time.now_ms()
         service = self._views[server].server.service
-        self._loads[service].note_peer_failure(saw.requests, now_ms)
+        if saw.symptom is not outcomes.Symptom.REPLACED:
+            # The request was not lost, but sent to another server.
+            self._loads[service].note_peer_failure(saw.requests, now_ms)
         noted = self._avoidance.note_failure(server, saw.symptom, now_ms)
         log.info(
             'server suspected',
@@ -532,6 +535,8 @@
     match result:
         case outcomes.Answered(status):
             return f'status {status}'
+        case outcomes.AnotherServer(found):
+            return f'{found or "another server"} is at its address'
         case outcomes.Broken(_, reason):
             return reason
         case outcomes.TimedOut(latency_ms):
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -271,7 +271,7 @@
     server_id: str
     born_ms: int
     reason: str
-    symptom: Literal['error', 'broken', 'silent']
+    symptom: Literal['error', 'broken', 'silent', 'replaced']
     # What the sender was asked lately for the server's service.
     requests: int
 
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -37,6 +37,7 @@
         self.mode = 'work'
         self.runs = collections.Counter()
         self.connections = set()
+        self.requests = 0
         self.bodies = {}
         self._server = wsgi.Server(
             (HOST, self.port), self._serve, numthreads=16, max=16
@@ -63,6 +64,7 @@
 
     def _serve(self, environ, start_response):
         self.connections.add(environ['REMOTE_PORT'])
+        self.requests += 1
         request_id = environ['HTTP_CARDAMOMDEAL_REQUEST_ID']
         body = environ['wsgi.input'].read(
             int(environ.get('CONTENT_LENGTH') or 0)
@@ -291,6 +293,19 @@
         self.assertEqual(503, answer.status)
         self.assertEqual(0, self.runs('r1'))
 
+    def test_address_that_was_taken_over_is_asked_once_by_all_hosts(self):
+        for at in self.entries:
+            # Hosts warn those that they have heard of.
+            self.wait_until(lambda at=at: len(self.named_hosts(at)) == 2)
+        replaced = self.backends[0]
+        replaced.server_id += '-other'
+        for at in self.entries:
+            for n in range(10):
+                answer = self.send(at, 'unsafe', f'{at["callers"]}-{n}', b'x')
+                self.assertEqual(200, answer.status)
+        # The first request that meets it warns the other host as well.
+        self.assertLessEqual(replaced.requests, 1)
+
     def test_change_is_in_force_at_every_host_within_two_seconds(self):
         self.configure(2, ['safe', 'unsafe', 'upload'])
         time.sleep(1.8)
@@ -328,14 +343,17 @@
     def test_hosts_are_published_and_named_to_callers(self):
         hosts = f'{wire.ENTRY_HOSTS_PREFIX}entry-1'
         self.wait_until(lambda: hosts in self.store.present_keys())
+        callers = f'{HOST}:{self.entries[0]["callers"]}'
+        self.assertIn(callers, self.named_hosts(self.entries[0]))
+
+    def named_hosts(self, at):
         answer = urllib3.request(
             'GET',
-            f'http://{HOST}:{self.entries[0]["directory"]}'
+            f'http://{HOST}:{at["directory"]}'
             f'{wire.RESOLVE_PATH}?name=shop.example&region=r&zone=a',
             timeout=2,
         )
-        named = set(answer.json()['addresses'])
-        self.assertIn(f'{HOST}:{self.entries[0]["callers"]}', named)
+        return answer.json()['addresses']
 
     def test_pipelined_lookups_are_answered_in_order_side_by_side(self):
         with socket.create_connection(
--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -69,10 +69,10 @@
     )
 
 
-def suspicion(failures, failed_at_ms, slow=False):
+def suspicion(failures, failed_at_ms, symptom=ERROR):
     odds = 1.0 if failures == 1 else avoidance.MAX_ODDS
     return avoidance.Suspicion(
-        odds, failed_at_ms, failures, slow, failed_at_ms
+        odds, failed_at_ms, failures, symptom, failed_at_ms
     )
 
 
@@ -111,6 +111,14 @@
         self.assertLess(self.fails(SILENT).probability(1_000), 0.25)
         self.assertGreater(self.fails(SILENT).probability(1_000), 0.7)
 
+    def test_server_whose_address_answers_for_another_is_gone(self):
+        # Found on a day on which crashed servers' addresses were reused:
+        # hosts that were cut off from the store asked there again.
+        result = outcomes.AnotherServer('i-2')
+        noted = self.fails(outcomes.symptom(result))
+        self.assertGreater(noted.probability(1_000), 0.99)
+        self.assertGreater(noted.probability(4_000), 0.7)
+
     def test_doubt_fades(self):
         noted = self.fails(ERROR, ERROR)
         later_ms = 1_000 + 2 * avoidance.EPISODE_MS
@@ -279,7 +287,7 @@
 
     def test_repeatable_work_probes_all_but_slow_servers(self):
         found = second_chance.find(
-            [suspicion(2, 0), suspicion(2, 0, slow=True)],
+            [suspicion(2, 0), suspicion(2, 0, SILENT)],
             13,
             CALM,
             True,
@@ -294,6 +302,12 @@
         )
         self.assertEqual((0, 1), found.places)
 
+    def test_replaced_server_gets_no_second_chance(self):
+        gone = [suspicion(2, 0, outcomes.Symptom.REPLACED)] * 8
+        for service, repeatable in ((CALM, True), (FAILING, False)):
+            found = second_chance.find(gone, 13, service, repeatable, 10_000)
+            self.assertEqual(second_chance.NONE, found)
+
     def test_floor_does_not_count_servers_that_failed_just_now(self):
         found = second_chance.find(
             [suspicion(2, 9_000)] * 8, 13, FAILING, False, 10_000
