--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -415,6 +415,12 @@
         large = self.send(at, 'unsafe', 'large', b'x' * 1_000_001)
         self.assertEqual(413, large.status)
         self.assertEqual(0, self.runs('large'))
+        with socket.create_connection(
+            (HOST, at['callers']), timeout=5
+        ) as large_head:
+            head = 'GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nX: '
+            large_head.sendall(head.encode() + b'x' * 20_000 + b'\r\n\r\n')
+            self.assertIn(b' 413 ', large_head.recv(200))
         with socket.create_connection(
             (HOST, at['callers']), timeout=5
         ) as slow:
