Learn the store's view from another host while the store is away

Cause: a host that started while the store was down or turned it away knew nothing and refused all work until the store answered it.

Change: a host whose view is stale asks a seed of its settings, and a host that it knows, for the whole view, every 0.9 s. It is sent in parts that fit a datagram, and only if it is younger than what the asking host has, so that nothing is sent around while the store is away from all.

A single value larger than a datagram cannot be handed over this way.

--- a/src/cardamomdeal/entry/core.py
+++ b/src/cardamomdeal/entry/core.py
@@ -12,6 +12,7 @@
 from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import readers
+from cardamomdeal.fleet import transfer
 from cardamomdeal.internal import actor
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
@@ -21,6 +22,8 @@
 from cardamomdeal.settings import model as settings_model
 
 TICK_MS = 300
+# A host that cannot read the store asks another for its view this often.
+VIEW_REQUEST_MS = 900
 # Pauses between failed calls: short for the hosts that read for all, long
 # for the others, which would only add to the load of a store in trouble.
 READER_RETRY_MS = 400
@@ -60,6 +63,11 @@
         self._freshness = freshness.Freshness()
         self._store_away = False
         self._asked_at_ms = 0
+        # The store is given time to answer first.
+        self._asked_view_at_ms = time.now_ms()
+        self._views: transfer.Collector[protocol.StoreEntry] = (
+            transfer.Collector()
+        )
         self._stopping = False
         self._tasks: messages.TasksStarted | None = None
         self._reading = False
@@ -119,6 +127,8 @@
         if self._knowledge.expire(now_ms):
             self._publish()
         self._choose_reading()
+        if self._freshness.is_stale(now_ms):
+            self._ask_view(now_ms)
         if self._reading and self._freshness.was_confirmed:
             self._tell_progress()
 
@@ -167,6 +177,10 @@
                     self._ask_changes(sender, now_ms)
             case protocol.StoreChangesRequest(_, after_revision):
                 self._send_changes(sender, after_revision)
+            case protocol.ViewRequest(_, age_ms):
+                self._send_view(sender, age_ms)
+            case protocol.ViewPart():
+                self._take_view_part(received, now_ms)
             case protocol.ServerLoad():
                 self._take_load(received)
             case protocol.ServerFailed():
@@ -228,14 +242,95 @@
             )
         )
 
+    def _ask_view(self, now_ms: int) -> None:
+        """Ask one host for its view, in case the store does not answer."""
+        if now_ms - self._asked_view_at_ms < VIEW_REQUEST_MS:
+            return
+        self._asked_view_at_ms = now_ms
+        known = [
+            host.peers
+            for host in self._knowledge.hosts()
+            if host.name != self._settings.name
+        ]
+        seeds = [s for s in self._settings.seeds if s != self._settings.peers]
+        # Seeds may be gone; hosts that were known may be as well.
+        asked = [self._random.choice(some) for some in (known, seeds) if some]
+        self._datagrams.command(
+            datagrams.SendTo(
+                tuple(asked),
+                protocol.ViewRequest(
+                    self._settings.name, self._freshness.known_age_ms(now_ms)
+                ),
+            )
+        )
+
+    def _send_view(
+        self, to: address.Address, known_age_ms: int | None
+    ) -> None:
+        if not self._knowledge.is_complete:
+            return
+        if not transfer.is_worth_sending(self._age_ms(), known_age_ms):
+            return
+        items = self._knowledge.items()
+        parts = transfer.split(
+            [_entry(item) for item in items],
+            [len(item.key) + len(item.value) for item in items],
+        )
+        for number, entries in enumerate(parts):
+            part = protocol.ViewPart(
+                self._settings.name,
+                self._knowledge.revision,
+                self._age_ms(),
+                number,
+                len(parts),
+                entries,
+            )
+            self._datagrams.command(datagrams.SendTo((to,), part))
+
+    def _take_view_part(self, part: protocol.ViewPart, now_ms: int) -> None:
+        if not self._freshness.is_stale(now_ms):
+            # The store answered meanwhile.
+            return
+        entries = self._views.take(
+            transfer.Version(part.host, part.revision),
+            part.number,
+            part.count,
+            part.entries,
+            now_ms,
+        )
+        if entries is None or part.revision < self._knowledge.revision:
+            return
+        items = tuple(
+            event
+            for event in map(_event, entries)
+            if isinstance(event, store.Item)
+        )
+        log.info(
+            'view taken over',
+            extra={
+                'from': part.host,
+                'revision': part.revision,
+                'age_ms': part.age_ms,
+            },
+        )
+        self._take_view(items, part.revision, now_ms - part.age_ms)
+        if self._tasks is not None:
+            self._tasks.follower.tell(messages.SetRevision(part.revision))
+
     def _take_read(self, read: messages.StoreRead) -> None:
         now_ms = self._time.now_ms()
         self._note_store_answered(now_ms)
-        self._knowledge.replace(read.items, read.revision, now_ms)
+        self._take_view(read.items, read.revision, now_ms)
+
+    def _take_view(
+        self, items: tuple[store.Item, ...], revision: int, at_ms: int
+    ) -> None:
+        """Take over a whole view of the store as it was at a time."""
+        self._knowledge.replace(items, revision, self._time.now_ms())
         self._changes.clear()
         self._changes_after = self._knowledge.revision
         self._freshness.note_caught_up()
-        self._freshness.confirm(now_ms)
+        self._freshness.confirm(at_ms)
         self._publish()
 
     def _take_changes(
--- a/src/cardamomdeal/entry/knowledge.py
+++ b/src/cardamomdeal/entry/knowledge.py
@@ -28,6 +28,7 @@
         )
         self._hosts: registry.Registry[model.EntryHost] = registry.Registry()
         self._lost: set[str] = set()
+        self._items: dict[str, store.Item] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -39,6 +40,10 @@
         """Return whether requests can be served from what is known."""
         return self._configuration is not None and not self.is_empty
 
+    def items(self) -> tuple[store.Item, ...]:
+        """Return the keys as they were written, for other hosts."""
+        return tuple(self._items.values())
+
     def servers(self) -> tuple[model.BackendServer, ...]:
         """Return the backend servers that are present."""
         return self._servers.entries()
@@ -88,6 +93,11 @@
     def apply(self, event: store.Event, now_ms: int) -> None:
         """Take over one change."""
         key = event.key
+        match event:
+            case store.Item():
+                self._items[key] = event
+            case store.Removal():
+                self._items.pop(key, None)
         if key == wire.CONFIGURATION_KEY:
             self._apply_configuration(event)
         elif key.startswith(wire.SERVERS_PREFIX):
--- a/src/cardamomdeal/fleet/freshness.py
+++ b/src/cardamomdeal/fleet/freshness.py
@@ -42,6 +42,10 @@
             return STALE_MS + 1
         return now_ms - self._confirmed_at_ms
 
+    def known_age_ms(self, now_ms: int) -> int | None:
+        """Return the age of the view, or None if it was never whole."""
+        return self.age_ms(now_ms) if self.was_confirmed else None
+
     def is_stale(self, now_ms: int) -> bool:
         """Return whether nobody confirmed the view for too long."""
         return self.age_ms(now_ms) > STALE_MS
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -264,6 +264,25 @@
     after_revision: int
 
 
+class ViewRequest(Message, frozen=True):
+    """Ask a host for all that it knows of the store."""
+
+    host: str
+    # Age of the asking host's own view; None if it has none.
+    age_ms: int | None
+
+
+class ViewPart(Message, frozen=True):
+    """Carry a part of what a host knows of the store."""
+
+    host: str
+    revision: int
+    age_ms: int
+    number: int
+    count: int
+    entries: tuple[StoreEntry, ...]
+
+
 class ServerFailed(Message, frozen=True):
     """Warn of a backend server that failed a request just now."""
 
@@ -318,6 +337,8 @@
     | StoreProgress
     | StoreChanges
     | StoreChangesRequest
+    | ViewRequest
+    | ViewPart
     | ServerFailed
     | ServerRecovered
     | ServerLoad
--- a/src/cardamomdeal/settings/load.py
+++ b/src/cardamomdeal/settings/load.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from cardamomdeal.document import check
+from cardamomdeal.internal import address
 from cardamomdeal.settings import errors
 from cardamomdeal.settings import model
 from cardamomdeal.settings import schema
@@ -55,6 +56,10 @@
         readiness=checked.readiness,
         directory=checked.directory,
         peers=checked.peers,
+        seeds=tuple(
+            address.Address(seed.host, checked.seeds_port or seed.port)
+            for seed in checked.seeds
+        ),
         metrics=checked.metrics,
         store=checked.store,
         bounds=_bounds(checked.bounds),
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -119,6 +119,8 @@
     readiness: address.Address
     directory: address.Address
     peers: address.Address
+    # Hosts that may tell what the store said when it does not answer.
+    seeds: tuple[address.Address, ...]
     metrics: address.Address
     store: address.Address
     bounds: Bounds
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -117,6 +117,9 @@
     readiness: Address
     directory: Address
     peers: Address
+    # Only the hosts of these count; they are asked at `seeds_port`.
+    seeds: tuple[Address, ...] = ()
+    seeds_port: Annotated[int, pydantic.Field(gt=0, lt=65_536)] | None = None
     metrics: Address
     store: Address
     bounds: BoundsModel
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -151,7 +151,7 @@
         }
         self.store.put(wire.CONFIGURATION_KEY, json.dumps(value).encode())
 
-    def start(self, name, log_to=None):
+    def start(self, name, log_to=None, seeds=()):
         ports = {
             key: fleet.free_port()
             for key in ('callers', 'readiness', 'directory', 'metrics')
@@ -165,6 +165,7 @@
             'region': 'r',
             'data_centre': 'a',
             'store': f'{HOST}:{self.store_port}',
+            'seeds': [f'{HOST}:{seed["peers"]}' for seed in seeds],
             'bounds': {
                 'drain': '2000ms',
                 'stop_grace': f'{GRACE_S}s',
@@ -332,6 +333,22 @@
             answer = self.send(at, 'safe', f'r{at["callers"]}')
             self.assertEqual(200, answer.status)
 
+    def test_host_that_starts_while_the_store_is_away_learns_from_a_seed(
+        self,
+    ):
+        self.store.trouble = store_standin.Trouble.BUSY
+        # Longer than a view takes to count as stale.
+        time.sleep(2)
+        starting = self.start('entry-3', seeds=self.entries)
+        self.wait_until_ready(starting)
+        answer = self.send(starting, 'unsafe', 'r1', b'x')
+        self.assertEqual(200, answer.status)
+        self.store.trouble = store_standin.Trouble.NONE
+        self.configure(2, ['safe', 'upload'])
+        time.sleep(1.8)
+        answer = self.send(starting, 'upload', 'r2', b'x')
+        self.assertEqual(200, answer.status)
+
     def test_change_made_while_history_was_lost_is_found(self):
         self.configure(2, ['safe', 'upload'])
         self.store.drop_history()
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -14,6 +14,7 @@
 from cardamomdeal.fleet import readers
 from cardamomdeal.fleet import registry
 from cardamomdeal.fleet import routes
+from cardamomdeal.fleet import transfer
 from cardamomdeal.platform import answers
 from cardamomdeal.platform import configuration
 from cardamomdeal.platform import entries
@@ -122,6 +123,62 @@
                 self.fail(f'accepted: {read}')
 
 
+class ViewTransferTest(unittest.TestCase):
+    """Replay hosts that start while the store is away."""
+
+    def setUp(self):
+        self.entries = [f'servers/{n}' for n in range(1_000)]
+        self.parts = transfer.split(self.entries, [250] * 1_000)
+        self.collector = transfer.Collector()
+
+    def take(self, number, version=None, now_ms=0):
+        return self.collector.take(
+            version or transfer.Version('entry-1', 7),
+            number,
+            len(self.parts),
+            self.parts[number],
+            now_ms,
+        )
+
+    def test_parts_fit_a_datagram(self):
+        for part in self.parts:
+            part_bytes = len(part) * (250 + transfer.ENTRY_OVERHEAD_BYTES)
+            self.assertLessEqual(part_bytes, transfer.PART_BYTES)
+
+    def test_view_is_whole_in_any_order_of_its_parts(self):
+        numbers = list(range(len(self.parts)))
+        random.Random(5).shuffle(numbers)
+        results = [self.take(number) for number in numbers]
+        self.assertEqual([None] * (len(numbers) - 1), results[:-1])
+        self.assertEqual(self.entries, list(results[-1]))
+
+    def test_parts_of_two_views_are_not_mixed(self):
+        other = transfer.Version('entry-2', 7)
+        for number in range(len(self.parts) - 1):
+            self.take(number)
+        self.assertIsNone(self.take(len(self.parts) - 1, other))
+
+    def test_lost_part_ends_the_view(self):
+        for number in range(1, len(self.parts)):
+            self.take(number)
+        late_ms = transfer.COLLECT_MS + 1
+        self.assertIsNone(self.take(0, now_ms=late_ms))
+
+    def test_part_that_cannot_be_is_dropped(self):
+        version = transfer.Version('entry-1', 7)
+        self.assertIsNone(self.collector.take(version, 3, 2, (), 0))
+
+    def test_views_as_old_as_the_known_one_are_not_sent(self):
+        cases = ((5_000, None, True), (5_000, 5_200, False), (40, 5_000, True))
+        for age_ms, known_age_ms, expected in cases:
+            with self.subTest(age_ms=age_ms, known_age_ms=known_age_ms):
+                sent = transfer.is_worth_sending(age_ms, known_age_ms)
+                self.assertEqual(expected, sent)
+
+    def test_empty_view_has_one_part(self):
+        self.assertEqual(((),), transfer.split([], []))
+
+
 class FreshnessTest(unittest.TestCase):
     """Replay a change that is too large to be told, at 10 s."""
 
