--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -16,6 +16,7 @@
 from cardamomdeal.balancing import placement
 from cardamomdeal.balancing import reuse
 from cardamomdeal.balancing import second_chance
+from cardamomdeal.balancing import server_views
 from cardamomdeal.balancing import service_load
 from cardamomdeal.entry import messages
 from cardamomdeal.fleet import model
@@ -27,12 +28,6 @@
 from cardamomdeal.telemetry import histograms
 
 TICK_MS = 1_000
-# A server that could not be reached from here is left alone this long;
-# others may reach it, so they are not warned.
-UNREACHABLE_MS = 2_000
-# A server that refused work has a full queue: long enough for one request
-# of ordinary length to end.
-FULL_MS = 250
 # Time that a configuration takes to arrive at a host that has just started.
 NO_CONFIGURATION_RETRY_MS = 300
 # Servers come and go within about this long.
@@ -46,19 +41,6 @@
 log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class _View:
-    """Track one backend server from this host."""
-
-    server: model.BackendServer
-    seen_at_ms: int
-    in_flight: int = 0
-    load: outcomes.Load | None = None
-    load_at_ms: int = 0
-    sent_since_load: int = 0
-    closed_until_ms: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class _Request:
     """Track one request from its admission to its end."""
@@ -67,7 +49,7 @@
     route: model.Route
     service: str
     ends_at_ms: int
-    view: _View
+    view: server_views.ServerView
     tried: set[tuple[str, int]]
     sent_attempts: int = 1
     unsent_attempts: int = 0
@@ -90,8 +72,7 @@
         self._time = time
         self._random = random.Random()
         self._routes: routes.RouteTable | None = None
-        self._views: dict[tuple[str, int], _View] = {}
-        self._by_service: dict[str, list[_View]] = {}
+        self._views = server_views.ServerViews()
         self._hosts = 1
         self._avoidance = avoidance.Avoidance()
         self._budgets: dict[str, budget.RepeatBudget] = (
@@ -137,8 +118,9 @@
             case messages.PeerSawFailure():
                 self._take_peer_failure(message)
             case messages.PeerSawLoad(server, load):
-                if server in self._views:
-                    _note_load(self._views[server], load, self._time.now_ms())
+                view = self._views.find(server)
+                if view is not None:
+                    view.note_load(load, self._time.now_ms())
             case messages.PeerSawRecovery(server, host):
                 self._take_peer_recovery(server, host)
             case messages.SettingsInForce(settings):
@@ -212,11 +194,11 @@
         service: str,
         tried: set[tuple[str, int]],
         now_ms: int,
-    ) -> _View | None:
+    ) -> server_views.ServerView | None:
         max_idle_ms = self._max_idle_ms(route, now_ms)
         candidates = [
             self._candidate(view, max_idle_ms, now_ms)
-            for view in self._by_service.get(service, ())
+            for view in self._views.of_service(service)
             if view.server.incarnation not in tried
         ]
         choice = placement.choose(
@@ -247,7 +229,7 @@
                 'hosts': self._hosts,
             },
         )
-        return self._views[chosen.server.incarnation]
+        return self._views.find(chosen.server.incarnation)
 
     def _service(self, name: str, now_ms: int) -> second_chance.Service:
         load = self._loads[name]
@@ -267,7 +249,10 @@
                 return self._reuse.limit_ms(now_ms)
 
     def _candidate(
-        self, view: _View, max_idle_ms: int, now_ms: int
+        self,
+        view: server_views.ServerView,
+        max_idle_ms: int,
+        now_ms: int,
     ) -> placement.Candidate:
         key = view.server.incarnation
         return placement.Candidate(
@@ -284,8 +269,7 @@
 
     def _assign(self, ticket: int, request: _Request) -> messages.Assigned:
         view = request.view
-        view.in_flight += 1
-        view.sent_since_load += 1
+        view.note_sent()
         now_ms = self._time.now_ms()
         kept = self._idle.take(
             view.server.incarnation,
@@ -333,7 +317,7 @@
             },
         )
         del self._requests[ticket]
-        return messages.NoRetry(reason, FULL_MS)
+        return messages.NoRetry(reason, server_views.FULL_MS)
 
     def _reason_against_retry(
         self, request: _Request, result: outcomes.AttemptResult
@@ -370,7 +354,7 @@
         key = request.view.server.incarnation
         if used is None:
             return
-        if key in self._views:
+        if key in self._views.incarnations():
             self._idle.put(key, used, self._time.now_ms())
         else:
             used.close()
@@ -381,7 +365,7 @@
         """Take in what an attempt showed of its server."""
         now_ms = self._time.now_ms()
         view = request.view
-        view.in_flight -= 1
+        view.note_ended(result, now_ms)
         self._counters[f'results.{type(result).__name__}'] += 1
         self._note_connection(request, result, now_ms)
         match result:
@@ -392,11 +376,6 @@
                 self._take_load(view, load, now_ms)
             case outcomes.NotExecuted(_, load):
                 self._take_load(view, load, now_ms)
-                view.closed_until_ms = now_ms + FULL_MS
-            case outcomes.NotConnected():
-                view.closed_until_ms = now_ms + UNREACHABLE_MS
-            case outcomes.AnotherServer():
-                view.closed_until_ms = now_ms + UNREACHABLE_MS
         key = view.server.incarnation
         symptom = outcomes.symptom(result)
         if symptom is not None:
@@ -439,10 +418,13 @@
                 )
 
     def _take_load(
-        self, view: _View, load: outcomes.Load | None, now_ms: int
+        self,
+        view: server_views.ServerView,
+        load: outcomes.Load | None,
+        now_ms: int,
     ) -> None:
         if load is not None:
-            _note_load(view, load, now_ms)
+            view.note_load(load, now_ms)
             self._core.tell(messages.SawLoad(view.server.incarnation, load))
 
     def _note_success(self, request: _Request, started_ms: int) -> None:
@@ -467,10 +449,11 @@
 
     def _take_peer_failure(self, saw: messages.PeerSawFailure) -> None:
         server = saw.server
-        if server not in self._views:
+        view = self._views.find(server)
+        if view is None:
             return
         now_ms = self._time.now_ms()
-        service = self._views[server].server.service
+        service = view.server.service
         if saw.symptom is not outcomes.Symptom.REPLACED:
             # The request was not lost, but sent to another server.
             self._loads[service].note_peer_failure(saw.requests, now_ms)
@@ -491,21 +474,11 @@
     ) -> None:
         now_ms = self._time.now_ms()
         self._hosts = hosts
-        previous = self._views
-        self._views = {}
-        self._by_service = {}
-        for server in servers:
-            view = previous.get(server.incarnation) or _View(server, now_ms)
-            if view.server != server:
-                view.server = server
-                view.seen_at_ms = now_ms
-            if server.state is model.ServerState.READY:
-                self._views[server.incarnation] = view
-                self._by_service.setdefault(server.service, []).append(view)
+        self._views.replace(servers, now_ms)
         for key in self._idle.servers():
-            if key not in self._views:
+            if key not in self._views.incarnations():
                 self._idle.drop(key)
-        self._avoidance.forget_except(self._views.keys())
+        self._avoidance.forget_except(self._views.incarnations())
 
 
 def _ends_at_ms(route: model.Route, admit: messages.Admit) -> int:
@@ -525,12 +498,6 @@
             return False
 
 
-def _note_load(view: _View, load: outcomes.Load, now_ms: int) -> None:
-    view.load = load
-    view.load_at_ms = now_ms
-    view.sent_since_load = 0
-
-
 def _reason(result: outcomes.AttemptResult) -> str:
     match result:
         case outcomes.Answered(status):
