--- a/src/cardamomdeal/balancing/avoidance.py
+++ b/src/cardamomdeal/balancing/avoidance.py
@@ -5,9 +5,9 @@
 import math
 
 from cardamomdeal.balancing import outcomes
+from cardamomdeal.fleet import model
 
-# Mean length of the episodes in which a server fails most of its work, as
-# seen on played days.
+# Mean length of the episodes in which a server fails most of its work.
 EPISODE_MS = 10_000
 # Odds that a server which worked a moment ago has turned bad since: such
 # episodes begin every 20 s or so, and a busy server works 3 times a second.
@@ -28,8 +28,6 @@
 # Below these odds a server counts as one that never failed.
 CLEARED_ODDS = 0.02
 
-Incarnation = tuple[str, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspicion:
@@ -58,10 +56,10 @@
     """
 
     def __init__(self) -> None:
-        self._suspicions: dict[Incarnation, Suspicion] = {}
+        self._suspicions: dict[model.Incarnation, Suspicion] = {}
 
     def note_failure(
-        self, server: Incarnation, symptom: outcomes.Symptom, now_ms: int
+        self, server: model.Incarnation, symptom: outcomes.Symptom, now_ms: int
     ) -> Suspicion:
         """Suspect a server that failed just now, here or elsewhere."""
         known = self._suspicions.get(server)
@@ -77,7 +75,7 @@
         return noted
 
     def note_success(
-        self, server: Incarnation, started_ms: int, now_ms: int
+        self, server: model.Incarnation, started_ms: int, now_ms: int
     ) -> bool:
         """Trust a server more; return whether it was suspected.
 
@@ -96,11 +94,11 @@
             )
         return True
 
-    def suspicion(self, server: Incarnation) -> Suspicion | None:
+    def suspicion(self, server: model.Incarnation) -> Suspicion | None:
         """Return what speaks against a server, if anything does."""
         return self._suspicions.get(server)
 
-    def forget_except(self, servers: abc.Set[Incarnation]) -> None:
+    def forget_except(self, servers: abc.Set[model.Incarnation]) -> None:
         """Drop what is known of servers that are gone."""
         for server in self._suspicions.keys() - servers:
             del self._suspicions[server]
--- a/src/cardamomdeal/balancing/server_views.py
+++ b/src/cardamomdeal/balancing/server_views.py
@@ -14,8 +14,6 @@
 # of ordinary length to end.
 FULL_MS = 250
 
-Incarnation = tuple[str, int]
-
 
 @dataclasses.dataclass(slots=True)
 class ServerView:
@@ -54,7 +52,7 @@
     """Hold the views of the servers that take new work."""
 
     def __init__(self) -> None:
-        self._views: dict[Incarnation, ServerView] = {}
+        self._views: dict[model.Incarnation, ServerView] = {}
         self._by_service: dict[str, list[ServerView]] = {}
 
     def replace(
@@ -75,7 +73,7 @@
                 self._views[server.incarnation] = view
                 self._by_service.setdefault(server.service, []).append(view)
 
-    def find(self, server: Incarnation) -> ServerView | None:
+    def find(self, server: model.Incarnation) -> ServerView | None:
         """Return the view of a server that takes new work."""
         return self._views.get(server)
 
@@ -83,6 +81,6 @@
         """Return the views of a service's servers."""
         return self._by_service.get(service, ())
 
-    def incarnations(self) -> abc.Set[Incarnation]:
+    def incarnations(self) -> abc.Set[model.Incarnation]:
         """Name the servers that take new work."""
         return self._views.keys()
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -50,7 +50,7 @@
     service: str
     ends_at_ms: int
     view: server_views.ServerView
-    tried: set[tuple[str, int]]
+    tried: set[model.Incarnation]
     sent_attempts: int = 1
     unsent_attempts: int = 0
     # How long the connection of the attempt had been idle; None if new.
@@ -83,7 +83,7 @@
         self._loads: dict[str, service_load.ServiceLoad] = (
             collections.defaultdict(service_load.ServiceLoad)
         )
-        self._idle: idle.IdleConnections[tuple[str, int]] = (
+        self._idle: idle.IdleConnections[model.Incarnation] = (
             idle.IdleConnections()
         )
         self._reuse = reuse.ReuseLimit()
@@ -192,7 +192,7 @@
         request_id: str,
         route: model.Route,
         service: str,
-        tried: set[tuple[str, int]],
+        tried: set[model.Incarnation],
         now_ms: int,
     ) -> server_views.ServerView | None:
         max_idle_ms = self._max_idle_ms(route, now_ms)
@@ -439,7 +439,9 @@
                 },
             )
 
-    def _take_peer_recovery(self, server: tuple[str, int], host: str) -> None:
+    def _take_peer_recovery(
+        self, server: model.Incarnation, host: str
+    ) -> None:
         now_ms = self._time.now_ms()
         if self._avoidance.note_success(server, now_ms, now_ms):
             log.info(
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -93,7 +93,7 @@
 class PeerSawFailure:
     """Pass on that another host saw a backend server fail."""
 
-    server: tuple[str, int]
+    server: model.Incarnation
     host: str
     reason: str
     symptom: outcomes.Symptom
@@ -104,7 +104,7 @@
 class SawFailure:
     """Report a failure of a backend server, for the other hosts."""
 
-    server: tuple[str, int]
+    server: model.Incarnation
     reason: str
     symptom: outcomes.Symptom
     requests: int
@@ -114,7 +114,7 @@
 class PeerSawRecovery:
     """Pass on that a suspected backend server served another host."""
 
-    server: tuple[str, int]
+    server: model.Incarnation
     host: str
 
 
@@ -122,7 +122,7 @@
 class SawLoad:
     """Report a server's load, for the hosts of this data centre."""
 
-    server: tuple[str, int]
+    server: model.Incarnation
     load: outcomes.Load
 
 
@@ -130,7 +130,7 @@
 class PeerSawLoad:
     """Pass on a server's load that another host was told."""
 
-    server: tuple[str, int]
+    server: model.Incarnation
     load: outcomes.Load
 
 
@@ -138,7 +138,7 @@
 class SawRecovery:
     """Report that a suspected server works, for the other hosts."""
 
-    server: tuple[str, int]
+    server: model.Incarnation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/fleet/model.py
+++ b/src/cardamomdeal/fleet/model.py
@@ -77,6 +77,10 @@
     limits: Limits
 
 
+# Name and start of one life of a backend server.
+Incarnation = tuple[str, int]
+
+
 class ServerState(enum.Enum):
     """Say whether a backend server takes new work."""
 
@@ -98,7 +102,7 @@
     slow_start_ms: int
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """Return what tells this life of the server from others."""
         return (self.server_id, self.born_ms)
 
--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -112,8 +112,8 @@
         self.assertGreater(self.fails(SILENT).probability(1_000), 0.7)
 
     def test_server_whose_address_answers_for_another_is_gone(self):
-        # Found on a day on which crashed servers' addresses were reused:
-        # hosts that were cut off from the store asked there again.
+        # Hosts that the store turned away asked crashed servers again
+        # whose addresses others had taken over.
         result = outcomes.AnotherServer('i-2')
         noted = self.fails(outcomes.symptom(result))
         self.assertGreater(noted.probability(1_000), 0.99)
@@ -260,8 +260,8 @@
         self.assertEqual({'far': 1_000}, chosen(near + far))
 
     def test_server_that_has_joined_gets_work(self):
-        # Found on a day with six new servers: all others told of an idle
-        # slot lately, so the new ones never came out cheapest.
+        # All others told of a free slot lately, and a new server that was
+        # taken for as busy as they are never came out cheapest.
         joined = dataclasses.replace(candidate('joined'), load=None)
         known = [candidate(str(n), busy=1) for n in range(4)]
         self.assertIn('joined', chosen([joined, *known]))
