Give bodies the idle time to pause, not that of a head

Cause: the wait for a head, set for each request since the operators' limits are in force, also bounded each pause of a body: an upload that paused for longer was cut.

Change: it bounds the head alone. The new whole-host test fails on the code before. The tests' reader of answers no longer spins at the end of a connection.

--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -146,6 +146,8 @@
         except OSError:
             # The caller is gone; there is nobody to answer.
             pass
+        # A body may pause for longer than a head may take.
+        self._connection.socket.settimeout(server.timeout)
         if not request.ready:
             self._reading = False
             if answering.wfile.tell():
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -145,7 +145,7 @@
             'limits': {
                 'max_header_bytes': 16384,
                 'max_body_bytes': 1000000,
-                'header_timeout': '3000ms',
+                'header_timeout': '1000ms',
                 'idle_timeout': '15000ms',
             },
         }
@@ -442,9 +442,26 @@
             (HOST, at['callers']), timeout=5
         ) as slow:
             slow.sendall(b'GET /safe/x HTTP/1.1\r\n')
-            # The configuration gives a head three seconds.
+            # The configuration gives a head one second.
             self.assertIn(b' 408 ', slow.recv(200))
 
+    def test_body_may_pause_for_longer_than_a_head(self):
+        with socket.create_connection(
+            (HOST, self.entries[0]['callers']), timeout=5
+        ) as connected:
+            connected.sendall(
+                (
+                    'POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\n'
+                    f'{wire.REQUEST_ID}: paused\r\nContent-Length: 2\r\n\r\na'
+                ).encode()
+            )
+            time.sleep(1.3)
+            connected.sendall(b'b')
+            answer = http.client.HTTPResponse(connected)
+            answer.fp = _Shared(connected)
+            answer.begin()
+            self.assertEqual(200, answer.status)
+
     def test_hangup_reloads_the_settings_and_cuts_nothing(self):
         stopping = self.entries[0]
         answers = []
@@ -554,13 +571,19 @@
     def readline(self, limit=65536):
         line = b''
         while not line.endswith(b'\n') and len(line) < limit:
-            line += self._connected.recv(1)
+            byte = self._connected.recv(1)
+            if not byte:
+                break
+            line += byte
         return line
 
     def read(self, size):
         data = b''
         while len(data) < size:
-            data += self._connected.recv(size - len(data))
+            received = self._connected.recv(size - len(data))
+            if not received:
+                break
+            data += received
         return data
 
     def close(self):
