End an exchange with a server whose response never ends

Callers saw: a backend server that sends a head or a body without end held the request past the route's time-out and its thread until the server stopped; a fast one filled the host's memory until the deadline.

Cause: each read had a limit of time, their sum and their size had none. Interim responses, sizes of chunks and trailers are read in loops of the HTTP library.

Change: the stream below the HTTP library checks the deadline of the whole exchange at each read and counts bytes: 128 KiB for a head with its interim responses, 192 KiB for each chunk with its framing, 16 MiB for a buffered body.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -4,11 +4,14 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import functools
 import http.client
+import io
 import itertools
 import re
 import select
 import socket
+from typing import Any
 from typing import Protocol
 
 import urllib3
@@ -29,6 +32,13 @@
 CHUNK_BYTES = 64 * 1024
 MIN_SOCKET_TIMEOUT_MS = 1
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
+# Limit of a response's head, with the interim responses before it.
+MAX_HEAD_BYTES = 128 * 1024
+# Bytes received for one chunk of a body: the sizes and extensions of chunks
+# and the trailers also count.
+MAX_BYTES_PER_CHUNK = CHUNK_BYTES + 128 * 1024
+# A host with little memory buffers the responses of several faulty servers.
+MAX_BUFFERED_BODY_BYTES = 16 * 1024**2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +60,14 @@
     deadline_at_ms: int
     idle_timeout_ms: int
 
+    def timeout_s(self, now_ms: int) -> float:
+        """Return the limit of a read now; raise AnswerTimedOut if too late."""
+        remaining_ms = self.deadline_at_ms - now_ms
+        if remaining_ms <= 0:
+            raise errors.AnswerTimedOut('the deadline has passed')
+        timeout_ms = min(remaining_ms, self.idle_timeout_ms)
+        return max(MIN_SOCKET_TIMEOUT_MS, timeout_ms) / 1000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BufferedRequest:
@@ -75,28 +93,87 @@
         """Return whether the caller has closed its connection."""
 
 
-class _TrailingBytesResponse(http.client.HTTPResponse):
-    """Response that detects trailing bytes, which belong to no request."""
+class _LimitedReader(io.RawIOBase):
+    """Stream of a response that limits its total time and its size.
+
+    A socket's timeout limits a single read, so a server that sends a byte now
+    and then, or interim responses or trailers forever, would never exceed it.
+    """
+
+    def __init__(
+        self, stream: socket.SocketIO, limit: TimeLimit, time: clock.Clock
+    ) -> None:
+        super().__init__()
+        self._stream = stream
+        self._socket: socket.socket = stream._sock
+        self._limit = limit
+        self._time = time
+        self._max_bytes = MAX_HEAD_BYTES
+        self._received_bytes = 0
+        self._is_blocking = True
+
+    def set_max_bytes(self, max_bytes: int) -> None:
+        """Limit the number of bytes received from now on."""
+        self._max_bytes = max_bytes
+        self._received_bytes = 0
+
+    def disable_blocking(self) -> None:
+        """Return only bytes that have already arrived from now on."""
+        self._is_blocking = False
+
+    def readable(self) -> bool:
+        """Return whether the stream can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Receive bytes; raise AnswerTimedOut or AnswerBroken."""
+        if not self._is_blocking:
+            self._socket.settimeout(0)
+            return self._stream.readinto(buffer)
+        self._socket.settimeout(self._limit.timeout_s(self._time.now_ms()))
+        count = self._stream.readinto(buffer) or 0
+        self._received_bytes += count
+        if self._received_bytes > self._max_bytes:
+            raise errors.AnswerBroken(
+                f'more than {self._max_bytes} bytes without an end'
+            )
+        return count
+
+    def close(self) -> None:
+        """Close the stream."""
+        self._stream.close()
+        super().close()
+
+
+class _LimitedResponse(http.client.HTTPResponse):
+    """Response that limits its time and size and detects trailing bytes."""
 
+    # Whether bytes follow the response; they belong to no request.
     has_trailing_bytes = False
 
+    def __init__(
+        self,
+        limit: TimeLimit,
+        time: clock.Clock,
+        sock: socket.socket,
+        *arguments: Any,
+        **keywords: Any,
+    ) -> None:
+        super().__init__(sock, *arguments, **keywords)
+        self.reader = _LimitedReader(self.fp.detach(), limit, time)
+        self.fp = io.BufferedReader(self.reader)
+
     def _close_conn(self) -> None:
-        reader = self.fp
-        if reader is not None and not self.will_close:
-            self.has_trailing_bytes = bool(_peek_buffered(reader))
+        if self.fp is not None and not self.will_close:
+            self.has_trailing_bytes = self._has_unread_bytes()
         super()._close_conn()  # type: ignore[misc]
 
-
-def _peek_buffered(reader) -> bytes:
-    sock = reader.raw._sock
-    timeout_s = sock.gettimeout()
-    sock.settimeout(0)
-    try:
-        return reader.peek(1)
-    except OSError:
-        return b''
-    finally:
-        sock.settimeout(timeout_s)
+    def _has_unread_bytes(self) -> bool:
+        self.reader.disable_blocking()
+        try:
+            return bool(self.fp.peek(1))
+        except OSError:
+            return False
 
 
 class Response:
@@ -105,12 +182,10 @@
     def __init__(
         self,
         raw: urllib3.HTTPResponse,
-        limit: TimeLimit,
         connection: 'BackendConnection',
     ) -> None:
         self._raw = raw
-        self._http_response: _TrailingBytesResponse = raw._original_response
-        self._limit = limit
+        self._http_response: _LimitedResponse = raw._original_response
         self._connection = connection
         self.body_bytes: int | None = self._http_response.length
         self.status = raw.status
@@ -129,10 +204,12 @@
 
     def body(self) -> Iterator[bytes]:
         """Yield the body; raise ExchangeBroken if it is incomplete."""
+        reader = self._http_response.reader
         try:
+            reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
             for chunk in self._raw.stream(CHUNK_BYTES, decode_content=False):
-                self._connection.apply_time_limit(self._limit)
                 yield chunk
+                reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
         except urllib3.exceptions.ReadTimeoutError as error:
             raise errors.AnswerTimedOut(str(error)) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
@@ -142,6 +219,24 @@
             or self._http_response.will_close
         )
 
+    def buffered_body(self) -> bytes:
+        """Return the body; raise ExchangeBroken if incomplete or too long."""
+        _check_body_size(self.body_bytes or 0)
+        chunks = []
+        size_bytes = 0
+        for chunk in self.body():
+            size_bytes += len(chunk)
+            _check_body_size(size_bytes)
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+
+def _check_body_size(size_bytes: int) -> None:
+    if size_bytes > MAX_BUFFERED_BODY_BYTES:
+        raise errors.AnswerBroken(
+            f'the body is longer than {MAX_BUFFERED_BODY_BYTES} bytes'
+        )
+
 
 class BackendConnection:
     """Connection to a backend server, for one request at a time."""
@@ -160,7 +255,6 @@
         self._http = HTTPConnection(
             server.host, server.port, timeout=connect_timeout_ms / 1000
         )
-        self._http.response_class = _TrailingBytesResponse
         try:
             self._http.connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
@@ -188,15 +282,10 @@
 
     def apply_time_limit(self, limit: TimeLimit) -> None:
         """Limit the next read or write; raise AnswerTimedOut if too late."""
-        remaining_ms = limit.deadline_at_ms - self._time.now_ms()
-        if remaining_ms <= 0:
-            raise errors.AnswerTimedOut('the deadline has passed')
-        timeout_ms = max(
-            MIN_SOCKET_TIMEOUT_MS, min(remaining_ms, limit.idle_timeout_ms)
-        )
-        self._http.timeout = timeout_ms / 1000
+        timeout_s = limit.timeout_s(self._time.now_ms())
+        self._http.timeout = timeout_s
         if self._http.sock is not None:
-            self._http.sock.settimeout(timeout_ms / 1000)
+            self._http.sock.settimeout(timeout_s)
 
     def exchange(self, request: Request, limit: TimeLimit) -> Response:
         """Send a request and read the response head; raise ExchangeBroken."""
@@ -349,6 +438,9 @@
 
     def _read_response_head(self, limit: TimeLimit) -> Response:
         self.apply_time_limit(limit)
+        self._http.response_class = functools.partial(
+            _LimitedResponse, limit, self._time
+        )
         try:
             raw = self._http.getresponse()
         except TimeoutError as error:
@@ -359,7 +451,7 @@
             OSError,
         ) as error:
             raise errors.ExchangeBroken(str(error)) from error
-        return Response(raw, limit, self)
+        return Response(raw, self)
 
     def _check_response(self, response: Response, request: Request) -> None:
         self._check_request_id(
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -198,7 +198,7 @@
         backend_response = server_connection.exchange_buffered(
             backend_request, limit, self._watcher_for_attempt()
         )
-        body = b''.join(backend_response.body())
+        body = backend_response.buffered_body()
         latency_ms = self._time.now_ms() - started_ms
         result = server_responses.classify(
             backend_response.status, backend_response.headers, latency_ms
