Send changes of the store to hosts in a way that fits slow links

Callers saw: after a change of the configuration, hosts served an old one for seconds (CONFIG), and were sent on by routes that had moved.

Cause: a change went to all hosts at once in one datagram of up to 60 KB, from two hosts chosen without regard to their links; a host that had missed changes got the whole view of the store in datagrams of 32 KB. Links of 5 or 10 Mbit/s drop what their queue does not hold, so most changes were lost there, and hosts fell back to reading the store, which some of them could not.

The test of oversized datagrams now uses random bytes, since equal ones shrink below the limit.

--- a/src/cardamomdeal/channels/datagrams.py
+++ b/src/cardamomdeal/channels/datagrams.py
@@ -14,7 +14,9 @@
 
 from cardamomdeal.channels import commands
 from cardamomdeal.channels import errors
+from cardamomdeal.channels import pacing
 from cardamomdeal.internal import address
+from cardamomdeal.internal import clock
 from cardamomdeal.protocol import codec
 from cardamomdeal.protocol import errors as protocol_errors
 from cardamomdeal.protocol import messages
@@ -58,11 +60,16 @@
     """
 
     def __init__(
-        self, owner: pykka.ActorRef[Any], listen: address.Address
+        self,
+        owner: pykka.ActorRef[Any],
+        listen: address.Address,
+        link_mbps: float = 0.0,
     ) -> None:
         """Bind the socket; raise AddressUnavailable when that fails."""
         super().__init__(name='datagrams', daemon=True)
         self._owner = owner
+        self._clock = clock.Clock()
+        self._paced = pacing.PacedQueue(link_mbps)
         self._commands: commands.CommandQueue[Command] = commands.CommandQueue(
             MAX_QUEUED_COMMANDS
         )
@@ -87,11 +94,14 @@
         poller.register(self._socket, select.POLLIN)
         running = True
         while running:
-            for ready_fd, _ in poller.poll():
+            now_ms = self._clock.now_ms()
+            for ready_fd, _ in poller.poll(self._paced.delay_ms(now_ms)):
                 if ready_fd == self._commands.wakeup_fd:
                     running = self._run_commands()
                 else:
                     self._receive()
+            for data, target in self._paced.pop_ready(self._clock.now_ms()):
+                self._send_datagram(data, target)
         self._socket.close()
         self._commands.close()
 
@@ -108,7 +118,7 @@
         self, to: tuple[address.Address, ...], message: messages.AnyMessage
     ) -> None:
         try:
-            data = codec.encode(message)
+            data = codec.encode_compressed(message)
         except protocol_errors.ProtocolError as error:
             log.warning(
                 'message not sent: encoding failed',
@@ -125,13 +135,17 @@
             )
             return
         for target in to:
-            try:
-                self._socket.sendto(data, (target.host, target.port))
-            except OSError as error:
-                log.debug(
-                    'cannot send datagram',
-                    extra={'to': str(target), 'reason': str(error)},
-                )
+            if not self._paced.put(data, target):
+                self._send_datagram(data, target)
+
+    def _send_datagram(self, data: bytes, target: address.Address) -> None:
+        try:
+            self._socket.sendto(data, (target.host, target.port))
+        except OSError as error:
+            log.debug(
+                'cannot send datagram',
+                extra={'to': str(target), 'reason': str(error)},
+            )
 
     def _receive(self) -> None:
         while True:
@@ -145,7 +159,7 @@
                     'cannot receive datagram', extra={'reason': str(error)}
                 )
                 return
-            match codec.decode(data):
+            match codec.decode_compressed(data):
                 case Success(message):
                     sender = address.Address(host, port)
                     self._notify_owner(Arrived(sender, message))
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -57,6 +57,7 @@
         self._rng = random.Random()
         self._state = fleet_state.FleetState()
         self._store_readers = store_readers.StoreReaders(settings.name)
+        self._hosts: tuple[model.EntryHost, ...] = ()
         self._recent_changes: collections.deque[protocol.StoreEntry] = (
             collections.deque(maxlen=MAX_RECENT_CHANGES)
         )
@@ -74,7 +75,7 @@
         self._tasks: messages.TasksStarted | None = None
         self._is_reading = False
         self._datagrams = datagrams.DatagramTask(
-            self.actor_ref, settings.peers
+            self.actor_ref, settings.peers, settings.link_mbps
         )
 
     def on_start(self) -> None:
@@ -90,6 +91,11 @@
         self._ticker.stop()
         self._datagrams.command(datagrams.Stop())
 
+    @property
+    def is_reading(self) -> bool:
+        """Return whether this host reads the store itself."""
+        return self._is_reading
+
     def receive(self, message: Any) -> Any:
         """Handle one message."""
         match message:
@@ -178,16 +184,12 @@
             case protocol.StoreProgress(host, revision, age_ms):
                 self._store_readers.record_report(host, age_ms, now_ms)
                 self._handle_progress(sender, revision, age_ms, now_ms)
-            case protocol.StoreChanges(_, after_revision, revision, entries):
-                events = tuple(_to_event(entry) for entry in entries)
-                if after_revision <= self._state.revision:
-                    self._apply_changes(events, revision)
-                else:
-                    self._request_changes(sender, now_ms)
+            case protocol.StoreChanges():
+                self._handle_peer_changes(sender, received, now_ms)
             case protocol.StoreChangesRequest(_, after_revision):
                 self._send_changes(sender, after_revision)
-            case protocol.ViewRequest(_, age_ms):
-                self._send_view(sender, age_ms)
+            case protocol.ViewRequest(_, revision, age_ms):
+                self._answer_view_request(sender, revision, age_ms)
             case protocol.ViewPart():
                 self._handle_view_part(received, now_ms)
             case protocol.ServerLoad():
@@ -222,6 +224,20 @@
         elif revision == self._state.revision:
             self._freshness.confirm(now_ms - age_ms)
 
+    def _handle_peer_changes(
+        self,
+        sender: address.Address,
+        changes: protocol.StoreChanges,
+        now_ms: int,
+    ) -> None:
+        if changes.after_revision > self._state.revision:
+            self._request_changes(sender, now_ms)
+            return
+        events = tuple(_to_event(entry) for entry in changes.entries)
+        self._apply_changes(events, changes.revision)
+        if changes.revision == self._state.revision:
+            self._freshness.confirm(now_ms - changes.age_ms)
+
     def _request_changes(self, sender: address.Address, now_ms: int) -> None:
         if self._state.is_empty or self._changes_requested_at_ms == now_ms:
             return
@@ -240,21 +256,30 @@
     ) -> None:
         if after_revision < self._recent_changes_start_revision:
             return
-        entries = tuple(
+        entries = [
             entry
             for entry in self._recent_changes
             if entry.revision > after_revision
-        )
-        self._datagrams.command(
-            datagrams.SendTo(
-                (recipient,),
-                protocol.StoreChanges(
-                    self._settings.name,
-                    after_revision,
-                    self._state.revision,
-                    entries,
-                ),
+        ]
+        for changes in view_transfer.split_changes(
+            entries,
+            [_size_bytes(entry) for entry in entries],
+            after_revision,
+            self._state.revision,
+        ):
+            self._datagrams.command(
+                datagrams.SendTo((recipient,), self._to_message(changes))
             )
+
+    def _to_message(
+        self, changes: view_transfer.Changes[protocol.StoreEntry]
+    ) -> protocol.StoreChanges:
+        return protocol.StoreChanges(
+            self._settings.name,
+            changes.after_revision,
+            changes.revision,
+            self._view_age_ms(),
+            changes.entries,
         )
 
     def _request_view(self, now_ms: int) -> None:
@@ -262,47 +287,71 @@
         if now_ms - self._view_requested_at_ms < VIEW_REQUEST_INTERVAL_MS:
             return
         self._view_requested_at_ms = now_ms
-        known_peers = [
-            host.peers
-            for host in self._state.hosts()
-            if host.name != self._settings.name
+        others = [
+            host for host in self._hosts if host.name != self._settings.name
         ]
+        preferred_readers = self._store_readers.preferred()
         seeds = [s for s in self._settings.seeds if s != self._settings.peers]
-        # Sends to one known host and one seed, as either may no longer exist.
-        targets = [
-            self._rng.choice(peers) for peers in (known_peers, seeds) if peers
-        ]
+        # The readers send all further changes to a host that they hear from.
+        # Another host and a seed are asked too, as none of them may exist.
+        targets = [h.peers for h in others if h.name in preferred_readers]
+        if others:
+            targets.append(self._rng.choice(others).peers)
+        if seeds:
+            targets.append(self._rng.choice(seeds))
         self._datagrams.command(
             datagrams.SendTo(
                 tuple(targets),
                 protocol.ViewRequest(
-                    self._settings.name, self._freshness.known_age_ms(now_ms)
+                    self._settings.name,
+                    self._state.revision if self._state.is_complete else None,
+                    self._freshness.known_age_ms(now_ms),
                 ),
             )
         )
 
-    def _send_view(
-        self, recipient: address.Address, known_age_ms: int | None
+    def _answer_view_request(
+        self,
+        recipient: address.Address,
+        known_revision: int | None,
+        known_age_ms: int | None,
     ) -> None:
+        """Send what the recipient lacks, if this host's view is newer."""
         if not self._state.is_complete:
             return
         if not view_transfer.is_worth_sending(
             self._view_age_ms(), known_age_ms
         ):
             return
-        items = self._state.items()
+        if (
+            known_revision is not None
+            and known_revision >= self._recent_changes_start_revision
+        ):
+            self._send_changes(recipient, known_revision)
+        else:
+            self._send_view(recipient)
+
+    def _send_view(self, recipient: address.Address) -> None:
+        entries = [_to_entry(item) for item in self._state.items()]
         parts = view_transfer.split(
-            [_to_entry(item) for item in items],
-            [len(item.key) + len(item.value) for item in items],
+            entries, [_size_bytes(entry) for entry in entries]
+        )
+        log.info(
+            'view sent to another host',
+            extra={
+                'to': str(recipient),
+                'revision': self._state.revision,
+                'parts': len(parts),
+            },
         )
-        for number, entries in enumerate(parts):
+        for number, part_entries in enumerate(parts):
             part = protocol.ViewPart(
                 self._settings.name,
                 self._state.revision,
                 self._view_age_ms(),
                 number,
                 len(parts),
-                entries,
+                part_entries,
             )
             self._datagrams.command(datagrams.SendTo((recipient,), part))
 
@@ -367,16 +416,17 @@
                 extra={'known': known_revision, 'after': after_revision},
             )
             return
-        if self._apply_changes(events, revision):
-            self._send_to_peers(
-                protocol.StoreChanges(
-                    self._settings.name,
-                    after_revision,
-                    revision,
-                    tuple(_to_entry(event) for event in events),
-                )
-            )
+        has_new_changes = self._apply_changes(events, revision)
         self._freshness.confirm(now_ms)
+        if has_new_changes:
+            entries = [_to_entry(event) for event in events]
+            for changes in view_transfer.split_changes(
+                entries,
+                [_size_bytes(entry) for entry in entries],
+                after_revision,
+                revision,
+            ):
+                self._send_to_peers(self._to_message(changes))
 
     def _apply_changes(
         self, events: tuple[store.Event, ...], revision: int
@@ -428,7 +478,8 @@
     def _send_updates(self) -> None:
         """Send the updated state to the other tasks."""
         hosts = self._state.hosts()
-        self._store_readers.set_hosts(host.name for host in hosts)
+        if hosts != self._hosts:
+            self._set_hosts(hosts)
         if self._tasks is None:
             return
         table = self._state.pop_new_routes()
@@ -452,6 +503,12 @@
         if self._state.pop_host_removal(self._settings.name):
             self._tasks.registrar.tell(messages.RegistrationLost())
 
+    def _set_hosts(self, hosts: tuple[model.EntryHost, ...]) -> None:
+        self._hosts = hosts
+        self._store_readers.set_hosts(
+            {host.name: host.link_mbps for host in (self._host, *hosts)}
+        )
+
     def _is_ready(self) -> bool:
         return self._state.is_complete and not self._is_stopping
 
@@ -526,14 +583,18 @@
         self, message: protocol.AnyMessage, data_centre: str | None = None
     ) -> None:
         """Send to all other hosts, or to those of one data centre."""
-        peers = tuple(
+        targets = tuple(
             host.peers
-            for host in self._state.hosts()
+            for host in self._hosts
             if host.name != self._settings.name
             and data_centre in (None, host.data_centre)
         )
-        if peers:
-            self._datagrams.command(datagrams.SendTo(peers, message))
+        if targets:
+            self._datagrams.command(datagrams.SendTo(targets, message))
+
+
+def _size_bytes(entry: protocol.StoreEntry) -> int:
+    return len(entry.key) + len(entry.value or b'')
 
 
 def _to_entry(event: store.Event) -> protocol.StoreEntry:
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -66,6 +66,7 @@
         settings.place.data_centre,
         settings.callers,
         settings.peers,
+        settings.link_mbps,
     )
     synchronizer_ref = fleet_synchronizer.FleetSynchronizer.start(
         settings, host, time
--- a/src/cardamomdeal/fleet/model.py
+++ b/src/cardamomdeal/fleet/model.py
@@ -118,3 +118,5 @@
     data_centre: str
     callers: address.Address
     peers: address.Address
+    # Bandwidth of its link; 0 if unknown.
+    link_mbps: float
--- a/src/cardamomdeal/fleet/store_readers.py
+++ b/src/cardamomdeal/fleet/store_readers.py
@@ -1,6 +1,6 @@
 """Decides which entry hosts read the store on behalf of all."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 from cardamomdeal.membership import rendezvous
@@ -27,17 +27,30 @@
 
     Hosts need no vote: each one reads the store unless enough hosts that
     rank before it report that they do. While hosts disagree
-    there may be additional readers, but never none.
+    there may be additional readers, but never none. A reader sends each
+    change to all hosts, so those with the fastest links rank first.
     """
 
     def __init__(self, name: str) -> None:
         self._name = name
+        self._link_mbps: Mapping[str, float] = {name: 0.0}
         self._ranked: list[str] = [name]
         self._reports: dict[str, ProgressReport] = {}
 
-    def set_hosts(self, names: Iterable[str]) -> None:
-        """Rank the hosts that are present, including this one."""
-        self._ranked = rendezvous.ranked(RENDEZVOUS_KEY, {*names, self._name})
+    def set_hosts(self, link_mbps: Mapping[str, float]) -> None:
+        """Rank the hosts, given with their links and including this one."""
+        if link_mbps == self._link_mbps:
+            return
+        self._link_mbps = link_mbps
+        self._ranked = sorted(
+            rendezvous.ranked(RENDEZVOUS_KEY, link_mbps),
+            key=lambda name: link_mbps[name],
+            reverse=True,
+        )
+
+    def preferred(self) -> list[str]:
+        """Return the hosts that read the store while none has failed."""
+        return self._ranked[:READER_COUNT]
 
     def record_report(self, name: str, view_age_ms: int, now_ms: int) -> None:
         """Record a host's report of the age of its view of the store."""
@@ -51,7 +64,7 @@
 
     def is_preferred_reader(self) -> bool:
         """Return whether this host is a reader while no host has failed."""
-        return self._name in self._ranked[:READER_COUNT]
+        return self._name in self.preferred()
 
     def _is_reading(self, name: str, now_ms: int) -> bool:
         report = self._reports.get(name)
--- a/src/cardamomdeal/fleet/view_transfer.py
+++ b/src/cardamomdeal/fleet/view_transfer.py
@@ -3,10 +3,12 @@
 from collections.abc import Sequence
 import dataclasses
 from typing import Generic
+from typing import Protocol
 from typing import TypeVar
 
-# Maximum size of the entries of one part; leaves ample room in a datagram.
-MAX_PART_BYTES = 32_000
+# Maximum size of the entries of one part. Slow links drop larger datagrams
+# more often, and one lost part makes a view useless.
+MAX_PART_BYTES = 16_000
 # Key and revision that are sent with the value of each entry.
 ENTRY_OVERHEAD_BYTES = 64
 # The parts of a view are sent one after the other. Parts that are missing
@@ -16,7 +18,23 @@
 # A view is sent only if it is newer than the receiver's by more than this.
 MIN_AGE_GAIN_MS = 500
 
-Entry = TypeVar('Entry')
+
+class HasRevision(Protocol):
+    """An entry with the revision of the store that wrote it."""
+
+    revision: int
+
+
+Entry = TypeVar('Entry', bound=HasRevision)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes(Generic[Entry]):
+    """The changes from one revision of the store to another."""
+
+    after_revision: int
+    revision: int
+    entries: tuple[Entry, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +61,34 @@
     return tuple(tuple(part) for part in parts)
 
 
+def split_changes(
+    entries: Sequence[Entry],
+    sizes_bytes: Sequence[int],
+    after_revision: int,
+    revision: int,
+) -> list['Changes[Entry]']:
+    """Split changes into parts that are applied one after the other.
+
+    A receiver ignores what is not newer than its revision, so entries of one
+    revision stay together.
+    """
+    parts: list[Changes[Entry]] = []
+    part: list[Entry] = []
+    part_bytes = 0
+    for entry, size_bytes in zip(entries, sizes_bytes, strict=True):
+        entry_bytes = size_bytes + ENTRY_OVERHEAD_BYTES
+        is_full = part_bytes + entry_bytes > MAX_PART_BYTES
+        if part and is_full and entry.revision > part[-1].revision:
+            parts.append(
+                Changes(after_revision, part[-1].revision, tuple(part))
+            )
+            after_revision = part[-1].revision
+            part, part_bytes = [], 0
+        part.append(entry)
+        part_bytes += entry_bytes
+    return [*parts, Changes(after_revision, revision, tuple(part))]
+
+
 def is_worth_sending(age_ms: int, receiver_age_ms: int | None) -> bool:
     """Return whether a view is sufficiently newer than the receiver's.
 
--- a/src/cardamomdeal/platform/entries.py
+++ b/src/cardamomdeal/platform/entries.py
@@ -62,6 +62,8 @@
     data_centre: str
     callers: Address
     peers: Address
+    # Absent from the entries of earlier versions.
+    link_mbps: Annotated[float, pydantic.Field(ge=0)] = 0.0
 
 
 def read_server(
@@ -103,6 +105,7 @@
             data_centre=parsed.data_centre,
             callers=parsed.callers,
             peers=parsed.peers,
+            link_mbps=parsed.link_mbps,
         )
     )
 
@@ -116,6 +119,7 @@
             data_centre=host.data_centre,
             callers=str(host.callers),
             peers=str(host.peers),
+            link_mbps=host.link_mbps,
         )
         .model_dump_json(warnings=False)
         .encode()
--- a/src/cardamomdeal/protocol/codec.py
+++ b/src/cardamomdeal/protocol/codec.py
@@ -1,5 +1,7 @@
 """MessagePack codec for inner messages, with version and size checks."""
 
+import zlib
+
 import msgspec
 from returns.result import Failure
 from returns.result import Result
@@ -10,6 +12,11 @@
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 4 * 1024**2
+# Shorter messages hardly shrink.
+MIN_COMPRESSED_BYTES = 512
+COMPRESSION_LEVEL = 1
+# First byte of zlib's format; an encoded envelope is an array, so it differs.
+COMPRESSED_MARK = b'\x78'
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -55,3 +62,26 @@
             )
         )
     return Success(envelope.body)
+
+
+def encode_compressed(message: messages.AnyMessage) -> bytes:
+    """Encode a message, compressed if it is long."""
+    data = encode(message)
+    if len(data) < MIN_COMPRESSED_BYTES:
+        return data
+    return zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def decode_compressed(
+    data: bytes,
+) -> Result[messages.AnyMessage, errors.ProtocolError]:
+    """Decode a message that may be compressed."""
+    if data[:1] != COMPRESSED_MARK:
+        return decode(data)
+    decompressor = zlib.decompressobj()
+    try:
+        # One byte more than allowed shows that the message is too large.
+        decompressed = decompressor.decompress(data, MAX_MESSAGE_BYTES + 1)
+    except zlib.error as error:
+        return Failure(errors.InvalidMessage(str(error)))
+    return decode(decompressed)
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -255,6 +255,8 @@
     host: str
     after_revision: int
     revision: int
+    # Time since the sender knew `revision` to be the store's latest.
+    age_ms: int
     entries: tuple[StoreEntry, ...]
 
 
@@ -266,10 +268,11 @@
 
 
 class ViewRequest(Message, frozen=True):
-    """Request a host's full copy of the store."""
+    """Request what a host knows of the store, or only what has changed."""
 
     host: str
-    # Age of the requesting host's own copy; None if it has none.
+    # Revision and age of the requesting host's own copy; None if it has none.
+    revision: int | None
     age_ms: int | None
 
 
--- a/src/cardamomdeal/settings/load.py
+++ b/src/cardamomdeal/settings/load.py
@@ -64,6 +64,7 @@
         ),
         metrics=validated.metrics,
         store=validated.store,
+        link_mbps=validated.link_mbps,
         bounds=_bounds(validated.bounds),
     )
 
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -123,6 +123,8 @@
     seeds: tuple[address.Address, ...]
     metrics: address.Address
     store: address.Address
+    # Bandwidth of the host's link; 0 if unknown.
+    link_mbps: float
     bounds: Bounds
 
 
@@ -135,6 +137,7 @@
     'directory',
     'peers',
     'metrics',
+    'link_mbps',
 )
 
 
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -123,6 +123,9 @@
     seeds_port: Annotated[int, pydantic.Field(gt=0, lt=65_536)] | None = None
     metrics: Address
     store: Address
+    # Bandwidth of the host's link. Hosts with the fastest links read the store
+    # on behalf of all.
+    link_mbps: Annotated[float, pydantic.Field(ge=0)] = 0.0
     bounds: BoundsModel
     statsd: Address | None = None
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
--- a/tests/contract/test_codec.py
+++ b/tests/contract/test_codec.py
@@ -1,6 +1,7 @@
 """Tests of the message codec: round trips and rejection of bad input."""
 
 import unittest
+import zlib
 
 from hypothesis import given
 from hypothesis import settings
@@ -46,6 +47,29 @@
         failure = codec.decode(b'x' * (codec.MAX_MESSAGE_BYTES + 1)).failure()
         self.assertIsInstance(failure, errors.MessageTooLarge)
 
+    def test_long_message_is_compressed(self) -> None:
+        message = messages.DocumentOffer(OFFER.head, b'{"name": 1}' * 1_000)
+        data = codec.encode_compressed(message)
+        self.assertLess(len(data), 1_000)
+        self.assertEqual(message, codec.decode_compressed(data).unwrap())
+
+    def test_compressed_message_above_the_size_limit_is_rejected(
+        self,
+    ) -> None:
+        # A small datagram must not fill the memory.
+        data = zlib.compress(b'x' * 100 * codec.MAX_MESSAGE_BYTES)
+        failure = codec.decode_compressed(data).failure()
+        self.assertIsInstance(failure, errors.MessageTooLarge)
+
+    def test_damaged_compressed_message_is_rejected(self) -> None:
+        data = codec.encode_compressed(
+            messages.DocumentOffer(OFFER.head, b'{"name": 1}' * 1_000)
+        )
+        for damaged in (data[:-9], data[:20], data[:2] + b'\xff' * 9):
+            with self.subTest(damaged=damaged):
+                failed = codec.decode_compressed(damaged)
+                self.assertFalse(is_successful(failed))
+
     @settings(max_examples=500, derandomize=True, database=None)
     @given(strategies.binary(max_size=200))
     def test_arbitrary_bytes_are_rejected_without_exception(
--- a/tests/contract/test_datagrams.py
+++ b/tests/contract/test_datagrams.py
@@ -1,6 +1,7 @@
 """Tests of the thread that owns the UDP socket between entry hosts."""
 
 import queue
+import random
 import socket
 import unittest
 
@@ -57,8 +58,10 @@
             datagrams.MAX_DATAGRAM_BYTES,
             codec.MAX_MESSAGE_BYTES,
         ):
-            entry = messages.StoreEntry('op/config', b'x' * size_bytes, 3)
-            self.send(messages.StoreChanges('entry-1', 2, 3, (entry,)))
+            # Random bytes do not shrink when they are compressed.
+            value = random.Random(1).randbytes(size_bytes)
+            entry = messages.StoreEntry('op/config', value, 3)
+            self.send(messages.StoreChanges('entry-1', 2, 3, 0, (entry,)))
         self.send(messages.StoreProgress('entry-1', 7, 20))
         self.assertIsInstance(
             self.events.get(timeout=5).message, messages.StoreProgress
--- /dev/null
+++ b/tests/history/test_changes_reach_hosts.py
@@ -0,0 +1,380 @@
+"""A change of the configuration reaches every host that any other reaches.
+
+The hosts exchange real messages over a simulated network whose links drop what
+does not fit in their queues; the store may turn hosts away. Links of 5 to
+10 Mbit/s used to lose large changes and views.
+"""
+
+import heapq
+import itertools
+import json
+import random
+from typing import Any
+import unittest
+from unittest import mock
+
+from cardamomdeal.channels import datagrams
+from cardamomdeal.channels import pacing
+from cardamomdeal.entry import fleet_synchronizer
+from cardamomdeal.entry import messages
+from cardamomdeal.fleet import model
+from cardamomdeal.fleet import store_readers
+from cardamomdeal.internal import address
+from cardamomdeal.internal import clock
+from cardamomdeal.platform import entries
+from cardamomdeal.platform import store
+from cardamomdeal.platform import wire
+from cardamomdeal.protocol import codec
+from cardamomdeal.settings import model as settings_model
+
+SLOW_LINK_MBPS = 10.0
+FAST_LINK_MBPS = 200.0
+# A link drops datagrams that would wait longer than this.
+LINK_QUEUE_MS = 20
+DELAY_MS = 1
+STORE_CALL_MS = 4
+WATCH_INTERVAL_MS = 150
+STORE_TIMEOUT_MS = 1_100
+SETTLING_MS = 4_000
+# A change must be in force everywhere within this time.
+IN_FORCE_MS = 2_500
+BOUNDS = settings_model.Bounds(
+    drain_ms=2_500,
+    stop_grace_ms=6_000,
+    max_keep_for_ms=5_000,
+    repeat_ratio=0.2,
+    repeat_window_ms=10_000,
+    repeat_slack=198.0,
+    capacity_floor=0.7,
+)
+
+
+def configuration(version: int, routes: int) -> bytes:
+    """Return a stored configuration with random names."""
+    rng = random.Random(7)
+    names = [f'{rng.getrandbits(40):010x}' for _ in range(routes)]
+    table = {
+        'columns': ['name', 'hostname', 'prefix', 'kind', 'service'],
+        'rows': [
+            [f'r-{name[:7]}', f'{name[:5]}.example', f'/{name}/', 'safe', 's']
+            for name in names
+        ],
+    }
+    return json.dumps(
+        {
+            'version': version,
+            'routes': table,
+            'services': [{'name': 's', 'max_connections': 10}],
+            'limits': {
+                'max_header_bytes': 16_384,
+                'max_body_bytes': 1_000,
+                'header_timeout': '3s',
+                'idle_timeout': '15s',
+            },
+        }
+    ).encode()
+
+
+class Events:
+    """Queue of simulated events in the order of their times."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock(1_000_000)
+        self._queue: list[tuple[int, int, Any]] = []
+        self._numbers = itertools.count()
+
+    def after(self, delay_ms: float, action: Any) -> None:
+        """Run an action later."""
+        at_ms = self.clock.now_ms() + round(delay_ms)
+        heapq.heappush(self._queue, (at_ms, next(self._numbers), action))
+
+    def run(self, duration_ms: int) -> None:
+        """Run all events of the next `duration_ms`."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            at_ms, _, action = heapq.heappop(self._queue)
+            self.clock.advance(max(0, at_ms - self.clock.now_ms()))
+            action()
+        self.clock.advance(end_ms - self.clock.now_ms())
+
+
+class Store:
+    """Content and history of the platform's store."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[str, store.Item] = {}
+        self.history: list[store.Event] = []
+        # Names of the hosts that have read it.
+        self.readers: set[str] = set()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write one key."""
+        self.revision += 1
+        self.items[key] = store.Item(key, value, self.revision)
+        self.history.append(self.items[key])
+
+    def remove(self, key: str) -> None:
+        """Remove one key."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self.history.append(store.Removal(key, self.revision))
+
+
+class Network:
+    """Delivers datagrams between hosts with limited links."""
+
+    def __init__(self, events: Events) -> None:
+        self._events = events
+        self.hosts: dict[address.Address, Host] = {}
+        self._link_free_at_ms: dict[address.Address, float] = {}
+        self.sent_bytes = 0
+
+    def send(self, sender: 'Host', command: datagrams.SendTo) -> None:
+        """Send a message to each target in the way of a datagram task."""
+        data = codec.encode_compressed(command.message)
+        if len(data) > datagrams.MAX_DATAGRAM_BYTES:
+            return
+        for target in command.to:
+            if not sender.paced.put(data, target):
+                self._transmit(sender, data, target)
+        self._send_paced(sender)
+
+    def _send_paced(self, sender: 'Host') -> None:
+        now_ms = self._events.clock.now_ms()
+        for data, target in sender.paced.pop_ready(now_ms):
+            self._transmit(sender, data, target)
+        delay_ms = sender.paced.delay_ms(now_ms)
+        if delay_ms is not None:
+            self._events.after(
+                max(1, delay_ms), lambda: self._send_paced(sender)
+            )
+
+    def _transmit(
+        self, sender: 'Host', data: bytes, target: address.Address
+    ) -> None:
+        own = sender.entry.peers
+        now_ms = self._events.clock.now_ms()
+        free_at_ms = max(now_ms, self._link_free_at_ms.get(own, 0))
+        if free_at_ms - now_ms > LINK_QUEUE_MS:
+            return
+        free_at_ms += len(data) / (sender.link_mbps * 125)
+        self._link_free_at_ms[own] = free_at_ms
+        self.sent_bytes += len(data)
+        receiver = self.hosts.get(target)
+        if receiver is not None:
+            message = codec.decode_compressed(data).unwrap()
+            self._events.after(
+                free_at_ms - now_ms + DELAY_MS, receiver.arrival(own, message)
+            )
+
+
+class Host:
+    """An entry host's synchronizer, with its other tasks replaced."""
+
+    def __init__(self, fleet: 'Fleet', number: int, link_mbps: float) -> None:
+        self._fleet = fleet
+        self._events = fleet.events
+        self.link_mbps = link_mbps
+        self.paced = pacing.PacedQueue(link_mbps)
+        self.reaches_store = True
+        self.applied_at_ms: dict[int, int] = {}
+        self.servers: set[str] = set()
+        self._revision: int | None = None
+        self._should_read = False
+        self._is_calling = False
+        own = address.Address(f'10.0.0.{number}', 7_200)
+        name = f'host-{number}'
+        place = settings_model.Place(name, 'r', 'a')
+        self.entry = model.EntryHost(name, 1, 'r', 'a', own, own, link_mbps)
+        settings = settings_model.EntrySettings(
+            name=name,
+            place=place,
+            telemetry=settings_model.Telemetry(None, 'ERROR'),
+            callers=own,
+            readiness=own,
+            directory=own,
+            peers=own,
+            link_mbps=link_mbps,
+            seeds=(),
+            metrics=own,
+            store=own,
+            bounds=BOUNDS,
+        )
+        channel = mock.Mock()
+        channel.command = lambda command: fleet.network.send(self, command)
+        with mock.patch.object(
+            datagrams, 'DatagramTask', lambda *arguments: channel
+        ):
+            self.synchronizer = fleet_synchronizer.FleetSynchronizer(
+                settings, self.entry, self._events.clock
+            )
+        self.synchronizer.receive(
+            messages.TasksStarted(self, self, self, mock.Mock())
+        )
+        self._events.after(number, self._tick)
+
+    def tell(self, message: Any) -> None:
+        """Handle a message that the synchronizer sends to another task."""
+        match message:
+            case messages.RoutesUpdated(table):
+                now_ms = self._events.clock.now_ms()
+                self.applied_at_ms[table.version] = now_ms
+            case messages.ServersUpdated(servers, _):
+                self.servers = {server.server_id for server in servers}
+            case messages.FollowStore(should_read, _):
+                self._should_read = should_read
+                if should_read and not self._is_calling:
+                    self._is_calling = True
+                    self._events.after(STORE_CALL_MS, self._call_store)
+            case messages.SetRevision(revision):
+                self._revision = max(self._revision or 0, revision)
+            case messages.Register():
+                self._fleet.register(self)
+
+    def arrival(self, sender: address.Address, message: Any) -> Any:
+        """Return an action that delivers a datagram."""
+        return lambda: self.synchronizer.receive(
+            datagrams.Arrived(sender, message)
+        )
+
+    def _tick(self) -> None:
+        self.synchronizer.receive(messages.Tick())
+        self._events.after(fleet_synchronizer.TICK_INTERVAL_MS, self._tick)
+
+    def _call_store(self) -> None:
+        if not self._should_read:
+            self._is_calling = False
+            return
+        if not self.reaches_store:
+            self._events.after(STORE_TIMEOUT_MS, self._fail_call)
+            return
+        self._fleet.store.readers.add(self.entry.name)
+        current = self._fleet.store
+        if self._revision is None:
+            update: Any = messages.StoreSnapshot(
+                tuple(current.items.values()), current.revision
+            )
+        else:
+            after_revision = self._revision
+            changes = tuple(
+                event
+                for event in current.history
+                if event.revision > after_revision
+            )
+            update = messages.StoreChanged(
+                after_revision, changes, current.revision
+            )
+        self._revision = current.revision
+        self.synchronizer.receive(update)
+        self._events.after(WATCH_INTERVAL_MS, self._call_store)
+
+    def _fail_call(self) -> None:
+        self.synchronizer.receive(messages.StoreFailed('silent'))
+        self._events.after(WATCH_INTERVAL_MS, self._call_store)
+
+
+class Fleet:
+    """Entry hosts with one store, a few of them with a fast link."""
+
+    def __init__(
+        self,
+        hosts: int,
+        fast: int,
+        routes: int,
+        settling_ms: int = SETTLING_MS,
+    ) -> None:
+        self.events = Events()
+        self.store = Store()
+        self.network = Network(self.events)
+        self.version = 1
+        self.routes = routes
+        self.store.put(wire.CONFIGURATION_KEY, configuration(1, routes))
+        for number in range(145):
+            self.store.put(f'servers/i-{number}', _server(number))
+        self.hosts = [
+            Host(self, n, FAST_LINK_MBPS if n < fast else SLOW_LINK_MBPS)
+            for n in range(hosts)
+        ]
+        for host in self.hosts:
+            self.network.hosts[host.entry.peers] = host
+        self.events.run(settling_ms)
+
+    def register(self, host: Host) -> None:
+        """Write the entry of a host unless it is present."""
+        key = wire.ENTRY_HOSTS_PREFIX + host.entry.name
+        if host.reaches_store and key not in self.store.items:
+            self.store.put(key, entries.write_host(host.entry))
+
+    def turn_away(self, hosts: list[Host]) -> None:
+        """Let the store turn hosts away and their entries expire."""
+        for host in hosts:
+            host.reaches_store = False
+            self.store.remove(wire.ENTRY_HOSTS_PREFIX + host.entry.name)
+
+    def change_configuration(self) -> None:
+        """Write the next version."""
+        self.version += 1
+        self.changed_at_ms = self.events.clock.now_ms()
+        self.store.put(
+            wire.CONFIGURATION_KEY, configuration(self.version, self.routes)
+        )
+
+    def late_hosts(self, version: int) -> list[str]:
+        """Return the hosts without the version in time."""
+        return [
+            host.entry.name
+            for host in self.hosts
+            if host.applied_at_ms.get(version, self.changed_at_ms + 10**9)
+            > self.changed_at_ms + IN_FORCE_MS
+        ]
+
+
+def _server(number: int) -> bytes:
+    rng = random.Random(number)
+    return json.dumps(
+        {
+            'address': f'10.1.{number}.9:8080',
+            'born': 1_788_000_000_000 + rng.getrandbits(30),
+            'info': {
+                'service': f'{rng.getrandbits(28):07x}',
+                'version': 'v1',
+                'zone': 'dk-west-a',
+                'slots': 6,
+            },
+            'status': {'state': 'ready', 'seq': 4, 'cold_remaining': '0ms'},
+        }
+    ).encode()
+
+
+class ChangesReachHostsTest(unittest.TestCase):
+    def assert_change_is_in_force(self, fleet: Fleet) -> None:
+        fleet.change_configuration()
+        fleet.events.run(IN_FORCE_MS + 100)
+        self.assertEqual([], fleet.late_hosts(fleet.version))
+
+    def test_all_hosts_reach_the_store(self) -> None:
+        for fast, routes in ((6, 60), (0, 60), (6, 1_500), (0, 1_500)):
+            with self.subTest(fast=fast, routes=routes):
+                self.assert_change_is_in_force(Fleet(60, fast, routes))
+
+    def test_few_hosts_read_the_store_at_a_change(self) -> None:
+        fleet = Fleet(60, 6, 300)
+        fleet.store.readers.clear()
+        self.assert_change_is_in_force(fleet)
+        self.assertEqual(store_readers.READER_COUNT, len(fleet.store.readers))
+
+    def test_hosts_without_changes_catch_up_over_slow_links(self) -> None:
+        fleet = Fleet(60, 0, 60)
+        cut_hosts = fleet.hosts[:20]
+        fleet.turn_away(cut_hosts)
+        for host in cut_hosts:
+            del fleet.network.hosts[host.entry.peers]
+        for _ in range(3):
+            fleet.change_configuration()
+            fleet.events.run(3_000)
+        for host in cut_hosts:
+            fleet.network.hosts[host.entry.peers] = host
+        fleet.changed_at_ms = fleet.events.clock.now_ms()
+        fleet.events.run(IN_FORCE_MS)
+        self.assertEqual([], fleet.late_hosts(fleet.version))
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -20,6 +20,7 @@
 from cardamomdeal.platform import responses
 from cardamomdeal.platform import store
 from cardamomdeal.platform import wire
+from cardamomdeal.protocol import messages as protocol
 
 CONFIGURATION = {
     'version': 7,
@@ -179,6 +180,26 @@
     def test_empty_view_has_one_part(self):
         self.assertEqual(((),), view_transfer.split([], []))
 
+    def test_changes_are_split_between_revisions_only(self):
+        # Entries of one revision in two parts: the second one would be
+        # ignored, since its revision has already been applied.
+        changed = [
+            protocol.StoreEntry(f'servers/{n}', b'', 10 + n // 100)
+            for n in range(300)
+        ]
+        parts = view_transfer.split_changes(changed, [250] * 300, 9, 20)
+        self.assertEqual(
+            [(9, 10), (10, 11), (11, 20)],
+            [(part.after_revision, part.revision) for part in parts],
+        )
+        self.assertEqual(
+            changed, [entry for part in parts for entry in part.entries]
+        )
+
+    def test_no_changes_still_advance_the_revision(self):
+        (part,) = view_transfer.split_changes([], [], 9, 20)
+        self.assertEqual((9, 20), (part.after_revision, part.revision))
+
 
 class FreshnessTest(unittest.TestCase):
     """Age of a view that was last confirmed at 10 s.
@@ -241,7 +262,7 @@
         match entries.read_server('i-1', encoded(SERVER)):
             case Success(server):
                 at = server.address
-        host = model.EntryHost('h1', 5, 'r', 'a', at, at)
+        host = model.EntryHost('h1', 5, 'r', 'a', at, at, 10.0)
         match entries.read_host('h1', entries.write_host(host)):
             case Success(read):
                 self.assertEqual(host, read)
@@ -317,7 +338,7 @@
             name: store_readers.StoreReaders(name) for name in self.NAMES
         }
         for readers in readers_by_name.values():
-            readers.set_hosts(self.NAMES)
+            readers.set_hosts(dict.fromkeys(self.NAMES, 10.0))
         return readers_by_name
 
     def reading_hosts(self, readers_by_name, now_ms):
@@ -327,6 +348,13 @@
             if readers.is_reader(now_ms)
         }
 
+    def test_hosts_with_fastest_links_are_preferred(self):
+        link_mbps = dict.fromkeys(self.NAMES, 10.0)
+        link_mbps |= {'host-7': 200.0, 'host-30': 200.0}
+        readers = store_readers.StoreReaders('host-1')
+        readers.set_hosts(link_mbps)
+        self.assertEqual({'host-7', 'host-30'}, set(readers.preferred()))
+
     def test_all_hosts_read_without_reports_of_others(self):
         self.assertEqual(
             set(self.NAMES), self.reading_hosts(self.readers_by_name(), 0)
