Keep sending changes to hosts whose entry in the store has expired

Callers saw: hosts that the store had turned away served an old configuration until the store took them back, and for seconds after that (CONFIG).

Cause: the list of recipients was the list of registered hosts. A host that cannot reach the store loses its entry, and with it all further changes, just when it depends on other hosts; nobody added it when it asked for a view.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -11,6 +11,7 @@
 from cardamomdeal.entry import messages
 from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
+from cardamomdeal.fleet import peers
 from cardamomdeal.fleet import store_readers
 from cardamomdeal.fleet import view_transfer
 from cardamomdeal.internal import actor
@@ -57,6 +58,7 @@
         self._rng = random.Random()
         self._state = fleet_state.FleetState()
         self._store_readers = store_readers.StoreReaders(settings.name)
+        self._peers = peers.Peers(settings.name)
         self._hosts: tuple[model.EntryHost, ...] = ()
         self._recent_changes: collections.deque[protocol.StoreEntry] = (
             collections.deque(maxlen=MAX_RECENT_CHANGES)
@@ -180,6 +182,7 @@
         self, sender: address.Address, received: protocol.AnyMessage
     ) -> None:
         now_ms = self._time.now_ms()
+        self._peers.record_heard(sender, now_ms)
         match received:
             case protocol.StoreProgress(host, revision, age_ms):
                 self._store_readers.record_report(host, age_ms, now_ms)
@@ -505,6 +508,7 @@
 
     def _set_hosts(self, hosts: tuple[model.EntryHost, ...]) -> None:
         self._hosts = hosts
+        self._peers.set_registered(hosts, self._time.now_ms())
         self._store_readers.set_hosts(
             {host.name: host.link_mbps for host in (self._host, *hosts)}
         )
@@ -583,12 +587,7 @@
         self, message: protocol.AnyMessage, data_centre: str | None = None
     ) -> None:
         """Send to all other hosts, or to those of one data centre."""
-        targets = tuple(
-            host.peers
-            for host in self._hosts
-            if host.name != self._settings.name
-            and data_centre in (None, host.data_centre)
-        )
+        targets = self._peers.addresses(self._time.now_ms(), data_centre)
         if targets:
             self._datagrams.command(datagrams.SendTo(targets, message))
 
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -2,7 +2,9 @@
 
 The hosts exchange real messages over a simulated network whose links drop what
 does not fit in their queues; the store may turn hosts away. Links of 5 to
-10 Mbit/s used to lose large changes and views.
+10 Mbit/s used to lose large changes and views, and hosts whose entry in the
+store had expired were no longer told of changes, so they served an old
+configuration for as long as the store turned them away.
 """
 
 import heapq
@@ -358,6 +360,23 @@
             with self.subTest(fast=fast, routes=routes):
                 self.assert_change_is_in_force(Fleet(60, fast, routes))
 
+    def test_store_turns_hosts_away_for_long(self) -> None:
+        for fast, routes in ((6, 60), (0, 60), (6, 1_500)):
+            with self.subTest(fast=fast, routes=routes):
+                fleet = Fleet(60, fast, routes)
+                fleet.turn_away(fleet.hosts[2::3])
+                for pause_ms in (500, 4_000, 40_000):
+                    fleet.events.run(pause_ms)
+                    self.assert_change_is_in_force(fleet)
+
+    def test_store_turns_reading_hosts_away(self) -> None:
+        fleet = Fleet(60, 6, 60)
+        fleet.turn_away(
+            [host for host in fleet.hosts if host.synchronizer.is_reading]
+        )
+        fleet.events.run(3_000)
+        self.assert_change_is_in_force(fleet)
+
     def test_few_hosts_read_the_store_at_a_change(self) -> None:
         fleet = Fleet(60, 6, 300)
         fleet.store.readers.clear()
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -11,10 +11,12 @@
 from cardamomdeal.entry import fleet_state
 from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
+from cardamomdeal.fleet import peers
 from cardamomdeal.fleet import registry
 from cardamomdeal.fleet import routes
 from cardamomdeal.fleet import store_readers
 from cardamomdeal.fleet import view_transfer
+from cardamomdeal.internal import address
 from cardamomdeal.platform import configuration
 from cardamomdeal.platform import entries
 from cardamomdeal.platform import responses
@@ -330,6 +332,59 @@
         self.assertEqual(('again',), self.registry.entries())
 
 
+class PeersTest(unittest.TestCase):
+    """Other hosts that messages are sent to.
+
+    A host that the store turned away lost its entry there, and with it all
+    further changes of the configuration.
+    """
+
+    def setUp(self):
+        self.peers = peers.Peers('host-0')
+        self.hosts = [
+            model.EntryHost(
+                f'host-{n}', 1, 'r', 'ab'[n % 2], at, at, link_mbps=10.0
+            )
+            for n in range(4)
+            for at in [address.Address(f'10.0.0.{n}', 7_200)]
+        ]
+        self.peers.set_registered(self.hosts, 0)
+
+    def numbers(self, now_ms, data_centre=None):
+        found = self.peers.addresses(now_ms, data_centre)
+        return sorted(int(peer.host.rpartition('.')[2]) for peer in found)
+
+    def test_host_itself_is_no_peer(self):
+        self.assertEqual([1, 2, 3], self.numbers(0))
+
+    def test_peers_of_one_data_centre(self):
+        self.assertEqual([1, 3], self.numbers(0, 'b'))
+
+    def test_unregistered_host_is_retained(self):
+        self.peers.set_registered(self.hosts[:3], 1_000)
+        self.assertEqual([1, 2, 3], self.numbers(30_000))
+        self.assertEqual([1, 3], self.numbers(30_000, 'b'))
+
+    def test_silent_unregistered_host_is_forgotten(self):
+        self.peers.set_registered(self.hosts[:3], 1_000)
+        self.assertEqual([1, 2], self.numbers(31_000))
+
+    def test_unregistered_host_is_kept_while_it_is_heard(self):
+        self.peers.set_registered(self.hosts[:3], 1_000)
+        self.peers.record_heard(self.hosts[3].peers, 30_000)
+        self.assertEqual([1, 2, 3], self.numbers(59_000))
+
+    def test_unknown_host_that_is_heard_becomes_a_peer(self):
+        self.peers.record_heard(address.Address('10.0.0.9', 7_200), 1_000)
+        self.assertEqual([1, 2, 3, 9], self.numbers(1_000))
+        self.assertEqual([1, 3], self.numbers(1_000, 'b'))
+
+    def test_host_is_listed_once_after_it_is_registered_again(self):
+        self.peers.set_registered(self.hosts[:3], 1_000)
+        self.peers.set_registered(self.hosts, 2_000)
+        self.assertEqual([1, 2, 3], self.numbers(2_000))
+
+
 class StoreReadersTest(unittest.TestCase):
     NAMES = tuple(f'host-{n}' for n in range(48))
 
