Retain missing entries only after the view itself was out of date

Cause: the grace period that retains entries after an outage of the store began at each first response after a failed call, however old, and after the first read of a new host, although other hosts had confirmed the view all the while. The server's removal, read 0.9 s late, was then retained for 1.5 s more. Hosts that heard of the end of an outage from another host had no grace period at all.

Evidence: the log of edge-dk-west-d-7: 20.66 s the host reads the store itself with a view of 1.0 s, 20.71 s 'store available again' and the entry is gone, 22.33 s the server is selected, acknowledged as leaving at 19.81 s.

Change: the grace period begins with the first news of the store after the view was out of date for 1.2 s, whoever brings it, and not at the first read.

Result: tests.history.test_changes_reach_hosts.RemovedServersTest, new, 3 tests: all failed before, all pass.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -225,6 +225,7 @@
             self._freshness.record_missing_changes(now_ms)
             self._request_changes(sender, now_ms)
         elif revision == self._state.revision:
+            self._end_outage(now_ms)
             self._freshness.confirm(now_ms - age_ms)
 
     def _handle_peer_changes(
@@ -236,6 +237,7 @@
         if changes.after_revision > self._state.revision:
             self._request_changes(sender, now_ms)
             return
+        self._end_outage(now_ms)
         events = tuple(_to_event(entry) for entry in changes.entries)
         self._apply_changes(events, changes.revision)
         if changes.revision == self._state.revision:
@@ -384,6 +386,7 @@
                 'age_ms': part.age_ms,
             },
         )
+        self._end_outage(now_ms)
         self._replace_view(items, part.revision, now_ms - part.age_ms)
         if self._tasks is not None:
             self._tasks.follower.tell(messages.SetRevision(part.revision))
@@ -472,11 +475,20 @@
     def _record_store_response(self, now_ms: int) -> None:
         if self._is_store_unavailable or self._freshness.is_stale(now_ms):
             self._is_store_unavailable = False
-            self._state.start_grace_period(now_ms)
             log.info(
                 'store available again',
                 extra={'view_age_ms': self._view_age_ms()},
             )
+        self._end_outage(now_ms)
+
+    def _end_outage(self, now_ms: int) -> None:
+        """Retain entries if this is the first news of the store for long.
+
+        A failed call of this host is no outage while other hosts read the
+        store and confirm its view.
+        """
+        if self._freshness.was_confirmed and self._freshness.is_stale(now_ms):
+            self._state.start_grace_period(now_ms)
 
     def _send_updates(self) -> None:
         """Send the updated state to the other tasks."""
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -397,3 +397,49 @@
         fleet.changed_at_ms = fleet.events.clock.now_ms()
         fleet.events.run(IN_FORCE_MS)
         self.assertEqual([], fleet.late_hosts(fleet.version))
+
+
+class RemovedServersTest(unittest.TestCase):
+    """A server that has left must get no requests two seconds later.
+
+    Entries that go missing after an outage of the store are retained for a
+    while. Hosts retained those of servers that had left although no outage
+    came before: after their first read, and after a failed call long ago.
+    """
+
+    def assert_server_leaves(self, fleet: Fleet) -> None:
+        fleet.store.remove('servers/i-7')
+        fleet.events.run(1_000)
+        late = [h.entry.name for h in fleet.hosts if 'i-7' in h.servers]
+        self.assertEqual([], late)
+
+    def test_after_failed_call_without_outage(self) -> None:
+        fleet = Fleet(20, 2, 10)
+        for host in fleet.hosts:
+            if not host.synchronizer.is_reading:
+                host.synchronizer.receive(messages.StoreFailed('reset'))
+        fleet.events.run(3_000)
+        # A host that misses a change reads it from the store.
+        for host in fleet.hosts:
+            host.tell(messages.FollowStore(True, 0))
+        self.assert_server_leaves(fleet)
+
+    def test_after_first_read(self) -> None:
+        self.assert_server_leaves(Fleet(20, 2, 10, settling_ms=300))
+
+    def test_entry_that_expired_in_an_outage_is_retained(self) -> None:
+        fleet = Fleet(20, 2, 10)
+        for host in fleet.hosts:
+            host.reaches_store = False
+        fleet.events.run(3_000)
+        entry = fleet.store.items['servers/i-7'].value
+        fleet.store.remove('servers/i-7')
+        for host in fleet.hosts:
+            host.reaches_store = True
+        fleet.events.run(1_300)
+        for host in fleet.hosts:
+            self.assertIn('i-7', host.servers)
+        fleet.store.put('servers/i-7', entry)
+        fleet.events.run(3_000)
+        for host in fleet.hosts:
+            self.assertIn('i-7', host.servers)
