Keep the capacity floor also while the trusted servers are busy

Cause: each failure keeps its server away for up to 16 s, and healthy servers fail 1.2% of their requests too, so at 380 requests a second three in four servers of a service were avoided. The floor that is meant for this was kept only above 8% of failed attempts as hosts count them; callers lose more than that by waiting, by leaving, or later, when hosts lose power.

Change: the floor also holds while the service's requests in flight, estimated as its rate times its latency, exceed 0.6 of the slots of the trusted servers.

Result: with the new condition off, both new tests fail (CapacityFloorTest, ProbingTest.test_capacity_floor_is_enforced_while_trusted_servers_are_busy); now tests.unit.test_balancing has 36 passed.

--- a/src/cardamomdeal/balancing/probing.py
+++ b/src/cardamomdeal/balancing/probing.py
@@ -11,13 +11,16 @@
 # avoiding servers has not helped enough, and some of the avoided ones may be
 # healthy.
 FLOOR_FAILURE_SHARE = 0.08
+# It is also enforced if the trusted servers are busier than this: then the
+# avoided ones are missed, and requests are lost by waiting.
+FLOOR_UTILIZATION = 0.6
 # A server whose last failure is not older than this counts as unhealthy and
 # is left out of the capacity floor.
 RECENT_FAILURE_MS = 2_000
 # A server counts towards the floor if it gets a request every two seconds, so
 # it is probed once its last failure is this old, at this rate from all hosts.
 FLOOR_PROBE_DELAY_MS = 1_500
-FLOOR_PROBES_PER_S = 3.0
+FLOOR_PROBES_PER_S = 2.0
 # Retryable requests show early whether a server has recovered, and cost only
 # one retry if it has not.
 RETRYABLE_PROBE_DELAY_MS = 1_000
@@ -31,13 +34,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceHealth:
-    """Request rate and failure share of a service across all hosts."""
+    """Requests of a service across all hosts, and its capacity floor."""
 
     rate_per_s: float
     failure_share: float
+    # Mean number of requests that servers run or queue at the same time.
+    concurrency: float
     capacity_floor: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrustedServers:
+    """Capacity of the servers that are not suspected."""
+
+    count: int
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbePlan:
     """Indexes of the servers to probe, and the share of requests to use."""
@@ -51,18 +64,18 @@
 
 def plan(
     suspicions: Sequence[failure_detector.Suspicion],
-    in_use: int,
+    trusted: TrustedServers,
     service: ServiceHealth,
     retryable: bool,
     now_ms: int,
 ) -> ProbePlan:
     """Return which of the suspected servers to probe."""
-    healthy = in_use + sum(
+    healthy = trusted.count + sum(
         now_ms - suspicion.last_failure_at_ms > RECENT_FAILURE_MS
         for suspicion in suspicions
     )
-    missing = math.ceil(healthy * service.capacity_floor) - in_use
-    if missing > 0 and service.failure_share > FLOOR_FAILURE_SHARE:
+    missing = math.ceil(healthy * service.capacity_floor) - trusted.count
+    if missing > 0 and _is_floor_enforced(trusted, service):
         indexes = [
             index
             for index, suspicion in enumerate(suspicions)
@@ -81,6 +94,15 @@
     return NO_PROBES
 
 
+def _is_floor_enforced(
+    trusted: TrustedServers, service: ServiceHealth
+) -> bool:
+    return (
+        service.failure_share > FLOOR_FAILURE_SHARE
+        or service.concurrency > FLOOR_UTILIZATION * trusted.slots
+    )
+
+
 def _plan_at_rate(
     indexes: list[int], probes_per_s: float, service: ServiceHealth
 ) -> ProbePlan:
--- a/src/cardamomdeal/balancing/server_selection.py
+++ b/src/cardamomdeal/balancing/server_selection.py
@@ -89,7 +89,9 @@
     trusted, suspected = _partition(usable, now_ms)
     probes = probing.plan(
         [c.suspicion for c in suspected if c.suspicion],
-        len(trusted),
+        probing.TrustedServers(
+            len(trusted), sum(c.server.slots for c in trusted)
+        ),
         context.service,
         context.retryable,
         now_ms,
--- a/src/cardamomdeal/balancing/service_load.py
+++ b/src/cardamomdeal/balancing/service_load.py
@@ -1,4 +1,4 @@
-"""Estimates a service's request rate and failure share across all hosts."""
+"""Estimates a service's load and failure share across all hosts."""
 
 import collections
 import statistics
@@ -13,6 +13,10 @@
     def __init__(self) -> None:
         self._requests: collections.deque[int] = collections.deque()
         self._failures: collections.deque[int] = collections.deque()
+        # Responses to this host: time and latency.
+        self._latencies: collections.deque[tuple[int, int]] = (
+            collections.deque()
+        )
         # Failures at other hosts: time and the host's own request count.
         self._peer_failures: collections.deque[tuple[int, int]] = (
             collections.deque()
@@ -22,6 +26,10 @@
         """Count a request that this host received."""
         self._requests.append(now_ms)
 
+    def record_latency(self, latency_ms: int, now_ms: int) -> None:
+        """Record how long a response to this host took."""
+        self._latencies.append((now_ms, latency_ms))
+
     def record_failure(self, now_ms: int) -> None:
         """Count a failed attempt of this host."""
         self._failures.append(now_ms)
@@ -45,6 +53,14 @@
         fleet_requests = max(1.0, statistics.fmean(counts)) * hosts
         return fleet_requests * 1_000 / WINDOW_MS
 
+    def concurrency(self, hosts: int, now_ms: int) -> float:
+        """Return the estimated number of requests in flight of all hosts."""
+        rate_per_s = self.rate_per_s(hosts, now_ms)
+        if not self._latencies:
+            return 0.0
+        latency_ms = statistics.fmean(ms for _, ms in self._latencies)
+        return rate_per_s * latency_ms / 1_000
+
     def failure_share(self, hosts: int, now_ms: int) -> float:
         """Return the share of all hosts' attempts that failed."""
         rate_per_s = self.rate_per_s(hosts, now_ms)
@@ -56,8 +72,6 @@
         for times in (self._requests, self._failures):
             while times and times[0] <= window_start_ms:
                 times.popleft()
-        while (
-            self._peer_failures
-            and self._peer_failures[0][0] <= window_start_ms
-        ):
-            self._peer_failures.popleft()
+        for pairs in (self._peer_failures, self._latencies):
+            while pairs and pairs[0][0] <= window_start_ms:
+                pairs.popleft()
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -249,6 +249,7 @@
         return probing.ServiceHealth(
             load.rate_per_s(self._host_count, now_ms),
             load.failure_share(self._host_count, now_ms),
+            load.concurrency(self._host_count, now_ms),
             self._settings.bounds.capacity_floor,
         )
 
@@ -395,6 +396,9 @@
                 self._histograms.record(
                     request.service, request.route.name, latency_ms
                 )
+                self._service_loads[request.service].record_latency(
+                    latency_ms, now_ms
+                )
                 self._record_load(view, load, now_ms)
             case outcomes.NotExecuted(_, load):
                 self._record_load(view, load, now_ms)
--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -28,11 +28,12 @@
     capacity_floor=0.7,
 )
 HEALTHY_SERVICE = probing.ServiceHealth(
-    rate_per_s=72.0, failure_share=0.02, capacity_floor=0.7
+    rate_per_s=72.0, failure_share=0.02, concurrency=15.0, capacity_floor=0.7
 )
 FAILING_SERVICE = probing.ServiceHealth(
-    rate_per_s=72.0, failure_share=0.2, capacity_floor=0.7
+    rate_per_s=72.0, failure_share=0.2, concurrency=15.0, capacity_floor=0.7
 )
+TRUSTED = probing.TrustedServers(count=13, slots=39)
 
 
 def server(name, data_centre=LOCAL_DATA_CENTRE):
@@ -194,7 +195,10 @@
         simulated_servers = {
             str(n): _SimulatedServer(rng) for n in range(servers)
         }
-        service = probing.ServiceHealth(rate_per_s, 0.02, 0.7)
+        # Healthy servers take 0.2 s for a request.
+        service = probing.ServiceHealth(
+            rate_per_s, 0.02, 0.2 * rate_per_s, 0.7
+        )
         now_ms, succeeded, sent = 100_000, 0, 0
         for simulated in simulated_servers.values():
             simulated.next_switch_at_ms += now_ms
@@ -236,6 +240,52 @@
                 self.assertGreaterEqual(sum(shares) / 4, 0.97)
 
 
+class CapacityFloorTest(unittest.TestCase):
+    """A busy service of healthy servers, each failing 1.2% of its requests.
+
+    Each failure kept its server away for up to 16 s, so that three in four
+    healthy servers got no requests for seconds.
+    """
+
+    def test_healthy_servers_get_a_request_every_two_seconds(self):
+        rng = random.Random(3)
+        detector = failure_detector.FailureDetector()
+        service = dataclasses.replace(
+            HEALTHY_SERVICE, rate_per_s=380.0, concurrency=150.0
+        )
+        names = [str(n) for n in range(86)]
+        selected_at_ms = dict.fromkeys(names, 0.0)
+        failed_at_ms = dict.fromkeys(names, -10_000.0)
+        now_ms = 0.0
+        while now_ms < 20_000:
+            now_ms += rng.expovariate(service.rate_per_s / 1_000)
+            selection = server_selection.select(
+                [
+                    candidate(name, detector.suspicion((name, 1)))
+                    for name in names
+                ],
+                server_selection.SelectionContext(
+                    LOCAL_DATA_CENTRE, service, False, now_ms
+                ),
+                rng,
+            )
+            name = selection.candidate.server.server_id
+            selected_at_ms[name] = now_ms
+            if rng.random() < 0.012:
+                failed_at_ms[name] = now_ms
+                detector.record_failure((name, 1), ERROR, now_ms)
+            else:
+                detector.record_success((name, 1), now_ms, now_ms)
+            # A server that failed by itself counts again 2 s later.
+            idle = sum(
+                selected_at_ms[name] < now_ms - 2_000
+                and failed_at_ms[name] < now_ms - 4_000
+                for name in names
+            )
+            if now_ms > 4_000:
+                self.assertLess(idle / len(names), 1 - service.capacity_floor)
+
+
 class ServerSelectionTest(unittest.TestCase):
     def test_no_candidates(self):
         context = server_selection.SelectionContext(
@@ -301,14 +351,14 @@
 class ProbingTest(unittest.TestCase):
     def test_non_retryable_requests_do_not_probe_if_few_attempts_fail(self):
         probes = probing.plan(
-            [suspicion(2, 0)] * 8, 13, HEALTHY_SERVICE, False, 10_000
+            [suspicion(2, 0)] * 8, TRUSTED, HEALTHY_SERVICE, False, 10_000
         )
         self.assertEqual(probing.NO_PROBES, probes)
 
     def test_retryable_requests_probe_all_but_silent_servers(self):
         probes = probing.plan(
             [suspicion(2, 0), suspicion(2, 0, SILENT)],
-            13,
+            TRUSTED,
             HEALTHY_SERVICE,
             True,
             10_000,
@@ -318,29 +368,49 @@
     def test_capacity_floor_is_enforced_while_many_servers_fail(self):
         # 8 of 21 servers are avoided; the floor is 15, so two are probed.
         probes = probing.plan(
-            [suspicion(2, 0)] * 8, 13, FAILING_SERVICE, False, 10_000
+            [suspicion(2, 0)] * 8, TRUSTED, FAILING_SERVICE, False, 10_000
         )
         self.assertEqual((0, 1), probes.indexes)
 
+    def test_capacity_floor_is_enforced_while_trusted_servers_are_busy(self):
+        # Servers that had failed once were avoided for up to 16 s, while a
+        # third of the others took all requests and callers left.
+        busy = dataclasses.replace(HEALTHY_SERVICE, concurrency=150.0)
+        probes = probing.plan(
+            [suspicion(1, 5_000)] * 50,
+            probing.TrustedServers(22, 132),
+            busy,
+            False,
+            10_000,
+        )
+        # The floor is 51 of 72 servers.
+        self.assertEqual(29, len(probes.indexes))
+
     def test_replaced_server_is_not_probed(self):
         replaced = [suspicion(2, 0, outcomes.Symptom.REPLACED)] * 8
         for service, retryable in (
             (HEALTHY_SERVICE, True),
             (FAILING_SERVICE, False),
         ):
-            probes = probing.plan(replaced, 13, service, retryable, 10_000)
+            probes = probing.plan(
+                replaced, TRUSTED, service, retryable, 10_000
+            )
             self.assertEqual(probing.NO_PROBES, probes)
 
     def test_capacity_floor_excludes_servers_that_failed_recently(self):
         probes = probing.plan(
-            [suspicion(2, 9_000)] * 8, 13, FAILING_SERVICE, False, 10_000
+            [suspicion(2, 9_000)] * 8, TRUSTED, FAILING_SERVICE, False, 10_000
         )
         self.assertEqual(probing.NO_PROBES, probes)
 
     def test_share_of_probe_requests_is_bounded(self):
-        low_traffic = probing.ServiceHealth(1.0, 0.2, 0.7)
+        low_traffic = probing.ServiceHealth(1.0, 0.2, 1.0, 0.7)
         probes = probing.plan(
-            [suspicion(2, 0)] * 8, 2, low_traffic, False, 10_000
+            [suspicion(2, 0)] * 8,
+            probing.TrustedServers(2, 6),
+            low_traffic,
+            False,
+            10_000,
         )
         self.assertLessEqual(probes.share, probing.MAX_PROBE_SHARE)
 
@@ -376,6 +446,14 @@
             load.record_peer_failure(10, 100)
         self.assertAlmostEqual(0.1, load.failure_share(48, 1_000))
 
+    def test_concurrency_is_rate_times_latency(self):
+        load = service_load.ServiceLoad()
+        for n in range(10):
+            load.record_request(n)
+            load.record_latency(500, n)
+        self.assertAlmostEqual(48 * 2 * 0.5, load.concurrency(48, 1_000))
+        self.assertEqual(0, load.concurrency(48, 10_000))
+
     def test_results_outside_window_are_ignored(self):
         load = service_load.ServiceLoad()
         load.record_request(0)
