Limit the recipients of one report of a server's load

Change: a report goes to 8 hosts of the data centre at random, and to 24 of all if the server is full; the servers are handed to the dispatcher only if they or the number of hosts have changed.

Result: tests.history.test_changes_reach_hosts.LoadReportsTest, new, 2 passed.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -38,6 +38,10 @@
 # addresses of hosts elsewhere.
 MIN_LOCAL_HOSTS = 3
 ADDRESS_KEEP_FOR_MS = 2_000
+# Hosts that one load report is sent to, at random so that the reports of a
+# server reach all of them in turn; more if the server is full.
+LOAD_RECIPIENTS = 8
+FULL_LOAD_RECIPIENTS = 24
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +64,7 @@
         self._store_readers = store_readers.StoreReaders(settings.name)
         self._peers = peers.Peers(settings.name)
         self._hosts: tuple[model.EntryHost, ...] = ()
+        self._last_update: messages.ServersUpdated | None = None
         self._recent_changes: collections.deque[protocol.StoreEntry] = (
             collections.deque(maxlen=MAX_RECENT_CHANGES)
         )
@@ -508,9 +513,12 @@
             )
             self._tasks.dispatcher.tell(messages.RoutesUpdated(table))
             self._tasks.limit_enforcer.set_limits(table.limits)
-        self._tasks.dispatcher.tell(
-            messages.ServersUpdated(self._state.servers(), max(1, len(hosts)))
+        update = messages.ServersUpdated(
+            self._state.servers(), max(1, len(hosts))
         )
+        if update != self._last_update:
+            self._last_update = update
+            self._tasks.dispatcher.tell(update)
         if self._is_stopping:
             return
         if self._is_ready():
@@ -575,14 +583,15 @@
         load = observed.load
         # Between data centres, a load report is worth its traffic only if the
         # server has no free slot and should get no more requests.
-        is_full = load.running + load.waiting >= load.slots
-        own_data_centre = self._settings.place.data_centre
-        self._send_to_peers(
-            protocol.ServerLoad(
-                server_id, born_ms, load.running, load.waiting, load.slots
-            ),
-            data_centre=None if is_full else own_data_centre,
+        report = protocol.ServerLoad(
+            server_id, born_ms, load.running, load.waiting, load.slots
         )
+        if load.running + load.waiting >= load.slots:
+            self._send_to_peers(report, max_recipients=FULL_LOAD_RECIPIENTS)
+        else:
+            self._send_to_peers(
+                report, self._settings.place.data_centre, LOAD_RECIPIENTS
+            )
 
     def _forward_peer_load(self, report: protocol.ServerLoad) -> None:
         if self._tasks is not None:
@@ -596,10 +605,15 @@
             )
 
     def _send_to_peers(
-        self, message: protocol.AnyMessage, data_centre: str | None = None
+        self,
+        message: protocol.AnyMessage,
+        data_centre: str | None = None,
+        max_recipients: int | None = None,
     ) -> None:
-        """Send to all other hosts, or to those of one data centre."""
+        """Send to all other hosts, or to some, or to those of one place."""
         targets = self._peers.addresses(self._time.now_ms(), data_centre)
+        if max_recipients is not None and len(targets) > max_recipients:
+            targets = tuple(self._rng.sample(targets, max_recipients))
         if targets:
             self._datagrams.command(datagrams.SendTo(targets, message))
 
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -15,6 +15,7 @@
 import unittest
 from unittest import mock
 
+from cardamomdeal.balancing import outcomes
 from cardamomdeal.channels import datagrams
 from cardamomdeal.channels import pacing
 from cardamomdeal.entry import fleet_synchronizer
@@ -182,6 +183,7 @@
         self.reaches_store = True
         self.applied_at_ms: dict[int, int] = {}
         self.servers: set[str] = set()
+        self.load_reports = 0
         self._revision: int | None = None
         self._should_read = False
         self._is_calling = False
@@ -231,6 +233,8 @@
                     self._events.after(STORE_CALL_MS, self._call_store)
             case messages.SetRevision(revision):
                 self._revision = max(self._revision or 0, revision)
+            case messages.PeerReportedLoad():
+                self.load_reports += 1
             case messages.Register():
                 self._fleet.register(self)
 
@@ -399,6 +403,37 @@
         self.assertEqual([], fleet.late_hosts(fleet.version))
 
 
+class LoadReportsTest(unittest.TestCase):
+    """Load reports to all hosts took most of their processor time."""
+
+    def test_recipients_of_one_report_are_limited(self) -> None:
+        fleet = Fleet(60, 6, 10)
+        for running, most in (
+            (1, fleet_synchronizer.LOAD_RECIPIENTS),
+            (6, fleet_synchronizer.FULL_LOAD_RECIPIENTS),
+        ):
+            with self.subTest(running=running):
+                self.assertEqual(
+                    {most}, {self.recipients(fleet, running) for _ in range(9)}
+                )
+
+    def test_all_hosts_get_reports_in_turn(self) -> None:
+        fleet = Fleet(60, 6, 10)
+        for _ in range(90):
+            self.recipients(fleet, 1)
+        unaware = [h.entry.name for h in fleet.hosts[1:] if not h.load_reports]
+        self.assertEqual([], unaware)
+
+    def recipients(self, fleet: Fleet, running: int) -> int:
+        """Return how many hosts get a report of the first host."""
+        before = sum(host.load_reports for host in fleet.hosts)
+        fleet.hosts[0].synchronizer.receive(
+            messages.LoadObserved(('i-7', 1), outcomes.Load(running, 0, 6))
+        )
+        fleet.events.run(20)
+        return sum(host.load_reports for host in fleet.hosts) - before
+
+
 class RemovedServersTest(unittest.TestCase):
     """A server that has left must get no requests two seconds later.
 
