Ignore a complete read of the store that is older than the view

Cause: a complete read takes several calls. Changes that another host sent meanwhile were overwritten by the older items, and, as the view's revision is the newer one, never applied again: a server that had left came back, a new one was lost until its entry changed.

Change: a read that began before the view's revision confirms it and no more.

Result: tests.history.test_changes_reach_hosts.CompleteReadsTest, new, 2 tests: both failed before, both pass.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -399,6 +399,10 @@
     def _handle_store_snapshot(self, snapshot: messages.StoreSnapshot) -> None:
         now_ms = self._time.now_ms()
         self._record_store_response(now_ms)
+        if snapshot.revision < self._state.revision:
+            # Other hosts sent newer changes while the items were read.
+            self._freshness.confirm(now_ms)
+            return
         self._replace_view(snapshot.items, snapshot.revision, now_ms)
 
     def _replace_view(
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -403,6 +403,35 @@
         self.assertEqual([], fleet.late_hosts(fleet.version))
 
 
+class CompleteReadsTest(unittest.TestCase):
+    """A complete read must not bring back what has changed since it began.
+
+    A complete read takes several calls. Changes that another host sent
+    meanwhile were overwritten, and not applied again.
+    """
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(3, 1, 10)
+        self.host = self.fleet.hosts[2]
+        self.old_read = messages.StoreSnapshot(
+            tuple(self.fleet.store.items.values()), self.fleet.store.revision
+        )
+
+    def test_removed_server_stays_removed(self) -> None:
+        self.fleet.store.remove('servers/i-7')
+        self.fleet.events.run(500)
+        self.assertNotIn('i-7', self.host.servers)
+        self.host.synchronizer.receive(self.old_read)
+        self.assertNotIn('i-7', self.host.servers)
+
+    def test_new_server_stays_known(self) -> None:
+        self.fleet.store.put('servers/i-new', _server(200))
+        self.fleet.events.run(500)
+        self.assertIn('i-new', self.host.servers)
+        self.host.synchronizer.receive(self.old_read)
+        self.assertIn('i-new', self.host.servers)
+
+
 class LoadReportsTest(unittest.TestCase):
     """Load reports to all hosts took most of their processor time."""
 
