Let a host that restarts without the store learn from its peers

Change: a host without a view asks the sender of a progress report for it.

Result: tests.history.test_changes_reach_hosts: the new test test_host_restarts_while_the_store_turns_it_away failed before and passes. A host that joins at a new address while the store turns it away still knows nobody.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -225,8 +225,9 @@
         now_ms: int,
     ) -> None:
         if self._state.is_empty:
-            return
-        if revision > self._state.revision:
+            # This host restarted while the store does not serve it.
+            self._request_view(now_ms, sender)
+        elif revision > self._state.revision:
             self._freshness.record_missing_changes(now_ms)
             self._request_changes(sender, now_ms)
         elif revision == self._state.revision:
@@ -292,11 +293,12 @@
             changes.entries,
         )
 
-    def _request_view(self, now_ms: int) -> None:
+    def _request_view(
+        self, now_ms: int, known_peer: address.Address | None = None
+    ) -> None:
         """Request the view of other hosts while this host's view is stale."""
         if now_ms - self._view_requested_at_ms < VIEW_REQUEST_INTERVAL_MS:
             return
-        self._view_requested_at_ms = now_ms
         others = [
             host for host in self._hosts if host.name != self._settings.name
         ]
@@ -309,6 +311,11 @@
             targets.append(self._rng.choice(others).peers)
         if seeds:
             targets.append(self._rng.choice(seeds))
+        if known_peer is not None:
+            targets.append(known_peer)
+        if not targets:
+            return
+        self._view_requested_at_ms = now_ms
         self._datagrams.command(
             datagrams.SendTo(
                 tuple(targets),
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -312,6 +312,15 @@
         if host.reaches_store and key not in self.store.items:
             self.store.put(key, entries.write_host(host.entry))
 
+    def restart(self, host: Host) -> Host:
+        """Replace a host by one that knows nothing, at the same address."""
+        number = self.hosts.index(host)
+        restarted = Host(self, number, host.link_mbps)
+        restarted.reaches_store = host.reaches_store
+        self.hosts[number] = restarted
+        self.network.hosts[host.entry.peers] = restarted
+        return restarted
+
     def turn_away(self, hosts: list[Host]) -> None:
         """Let the store turn hosts away and their entries expire."""
         for host in hosts:
@@ -373,6 +382,17 @@
                     fleet.events.run(pause_ms)
                     self.assert_change_is_in_force(fleet)
 
+    def test_host_restarts_while_the_store_turns_it_away(self) -> None:
+        # The host knows no other one, but they still send to its address.
+        fleet = Fleet(60, 6, 60)
+        fleet.turn_away(fleet.hosts[2::3])
+        fleet.events.run(500)
+        restarted = fleet.restart(fleet.hosts[2])
+        fleet.changed_at_ms = fleet.events.clock.now_ms()
+        fleet.events.run(IN_FORCE_MS)
+        self.assertNotIn(restarted.entry.name, fleet.late_hosts(1))
+        self.assert_change_is_in_force(fleet)
+
     def test_store_turns_reading_hosts_away(self) -> None:
         fleet = Fleet(60, 6, 60)
         fleet.turn_away(
