Log datagrams that are dropped while they wait for the link

Change: a datagram that finds the queue full is dropped with a log line; one method builds the messages.

No change of behaviour below 4,000 waiting datagrams.

--- a/src/cardamomdeal/channels/pacing.py
+++ b/src/cardamomdeal/channels/pacing.py
@@ -1,6 +1,7 @@
 """Spreads large datagrams over time so that they fit through the link."""
 
 import collections
+import logging
 
 from cardamomdeal.internal import address
 
@@ -13,6 +14,8 @@
 MAX_QUEUED_DATAGRAMS = 4_000
 BYTES_PER_MS_AND_MBPS = 125
 
+log = logging.getLogger(__name__)
+
 
 class PacedQueue:
     """Queue of the datagrams that wait for their turn on the link.
@@ -25,14 +28,20 @@
         """Pace for a link, or not at all if its bandwidth is 0."""
         self._bytes_per_ms = link_mbps * BYTES_PER_MS_AND_MBPS * LINK_SHARE
         self._waiting: collections.deque[tuple[bytes, address.Address]] = (
-            collections.deque(maxlen=MAX_QUEUED_DATAGRAMS)
+            collections.deque()
         )
         self._link_free_at_ms = 0.0
 
     def put(self, data: bytes, target: address.Address) -> bool:
-        """Queue a large datagram; return False if it can be sent at once."""
+        """Take a large datagram; return False if it can be sent at once."""
         if not self._bytes_per_ms or len(data) < MIN_PACED_BYTES:
             return False
+        if len(self._waiting) >= MAX_QUEUED_DATAGRAMS:
+            log.warning(
+                'datagram dropped: too many wait for the link',
+                extra={'to': str(target), 'size_bytes': len(data)},
+            )
+            return True
         self._waiting.append((data, target))
         return True
 
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -272,26 +272,33 @@
             for entry in self._recent_changes
             if entry.revision > after_revision
         ]
-        for changes in view_transfer.split_changes(
+        for message in self._split_changes(
+            entries, after_revision, self._state.revision
+        ):
+            self._datagrams.command(datagrams.SendTo((recipient,), message))
+
+    def _split_changes(
+        self,
+        entries: list[protocol.StoreEntry],
+        after_revision: int,
+        revision: int,
+    ) -> list[protocol.StoreChanges]:
+        parts = view_transfer.split_changes(
             entries,
             [_size_bytes(entry) for entry in entries],
             after_revision,
-            self._state.revision,
-        ):
-            self._datagrams.command(
-                datagrams.SendTo((recipient,), self._to_message(changes))
-            )
-
-    def _to_message(
-        self, changes: view_transfer.Changes[protocol.StoreEntry]
-    ) -> protocol.StoreChanges:
-        return protocol.StoreChanges(
-            self._settings.name,
-            changes.after_revision,
-            changes.revision,
-            self._view_age_ms(),
-            changes.entries,
+            revision,
         )
+        return [
+            protocol.StoreChanges(
+                self._settings.name,
+                part.after_revision,
+                part.revision,
+                self._view_age_ms(),
+                part.entries,
+            )
+            for part in parts
+        ]
 
     def _request_view(
         self, now_ms: int, known_peer: address.Address | None = None
@@ -442,13 +449,10 @@
         self._freshness.confirm(now_ms)
         if has_new_changes:
             entries = [_to_entry(event) for event in events]
-            for changes in view_transfer.split_changes(
-                entries,
-                [_size_bytes(entry) for entry in entries],
-                after_revision,
-                revision,
+            for message in self._split_changes(
+                entries, after_revision, revision
             ):
-                self._send_to_peers(self._to_message(changes))
+                self._send_to_peers(message)
 
     def _apply_changes(
         self, events: tuple[store.Event, ...], revision: int
--- a/tests/unit/test_pacing.py
+++ b/tests/unit/test_pacing.py
@@ -50,3 +50,9 @@
         for now_ms in range(1, 200):
             sent += [data for data, _ in self.queue.pop_ready(now_ms)]
         self.assertEqual(messages, sent)
+
+    def test_full_queue_drops_and_logs(self):
+        for _ in range(pacing.MAX_QUEUED_DATAGRAMS):
+            self.queue.put(LARGE, TARGET)
+        with self.assertLogs(pacing.log, 'WARNING'):
+            self.assertTrue(self.queue.put(LARGE, TARGET))
