Estimate a service's rate once for each selection

Cause: the floor's new condition made a selection compute the rate over all recent reports three times instead of twice.

Change: the rate is computed once and passed to the share of failures and to the requests in flight.

Kept because it is simpler. tests.unit.test_balancing has 36 passed.

--- a/src/cardamomdeal/balancing/service_load.py
+++ b/src/cardamomdeal/balancing/service_load.py
@@ -53,17 +53,15 @@
         fleet_requests = max(1.0, statistics.fmean(counts)) * hosts
         return fleet_requests * 1_000 / WINDOW_MS
 
-    def concurrency(self, hosts: int, now_ms: int) -> float:
-        """Return the estimated number of requests in flight of all hosts."""
-        rate_per_s = self.rate_per_s(hosts, now_ms)
+    def concurrency(self, rate_per_s: float) -> float:
+        """Return the estimated number of requests in flight at this rate."""
         if not self._latencies:
             return 0.0
         latency_ms = statistics.fmean(ms for _, ms in self._latencies)
         return rate_per_s * latency_ms / 1_000
 
-    def failure_share(self, hosts: int, now_ms: int) -> float:
-        """Return the share of all hosts' attempts that failed."""
-        rate_per_s = self.rate_per_s(hosts, now_ms)
+    def failure_share(self, rate_per_s: float) -> float:
+        """Return the share of failed attempts at this rate of all hosts."""
         failures = len(self._peer_failures) + len(self._failures)
         return failures * 1_000 / (WINDOW_MS * rate_per_s)
 
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -246,10 +246,11 @@
         self, service: str, now_ms: int
     ) -> probing.ServiceHealth:
         load = self._service_loads[service]
+        rate_per_s = load.rate_per_s(self._host_count, now_ms)
         return probing.ServiceHealth(
-            load.rate_per_s(self._host_count, now_ms),
-            load.failure_share(self._host_count, now_ms),
-            load.concurrency(self._host_count, now_ms),
+            rate_per_s,
+            load.failure_share(rate_per_s),
+            load.concurrency(rate_per_s),
             self._settings.bounds.capacity_floor,
         )
 
--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -444,21 +444,25 @@
             load.record_request(n)
         for _ in range(48):
             load.record_peer_failure(10, 100)
-        self.assertAlmostEqual(0.1, load.failure_share(48, 1_000))
+        self.assertAlmostEqual(
+            0.1, load.failure_share(load.rate_per_s(48, 1_000))
+        )
 
     def test_concurrency_is_rate_times_latency(self):
         load = service_load.ServiceLoad()
         for n in range(10):
             load.record_request(n)
             load.record_latency(500, n)
-        self.assertAlmostEqual(48 * 2 * 0.5, load.concurrency(48, 1_000))
-        self.assertEqual(0, load.concurrency(48, 10_000))
+        self.assertAlmostEqual(
+            48 * 2 * 0.5, load.concurrency(load.rate_per_s(48, 1_000))
+        )
+        self.assertEqual(0, load.concurrency(load.rate_per_s(48, 10_000)))
 
     def test_results_outside_window_are_ignored(self):
         load = service_load.ServiceLoad()
         load.record_request(0)
         load.record_failure(0)
-        self.assertEqual(0, load.failure_share(1, 10_000))
+        self.assertEqual(0, load.failure_share(load.rate_per_s(1, 10_000)))
 
 
 class RetryBudgetTest(unittest.TestCase):
