Hand out recent changes of the store only if none is missing

Callers would see: a host that the store turns away keeps an old configuration, or sends requests to a server that has left, until the key changes again.

Cause: the newest 200 changes are kept for hosts that missed some. When one response of the store held more than 200, as after an outage in which the entries of all hosts and servers expire, those dropped at once were not counted as missing, and a host that asked got the rest as if it were complete.

Change: fleet.recent_changes keeps the changes together with the revision after which they are complete; a host that lacks more requests a view.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -1,6 +1,5 @@
 """Actor that keeps an entry host's fleet state in sync with the store."""
 
-import collections
 import logging
 import random
 from typing import Any
@@ -12,6 +11,7 @@
 from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import peers
+from cardamomdeal.fleet import recent_changes
 from cardamomdeal.fleet import store_readers
 from cardamomdeal.fleet import view_transfer
 from cardamomdeal.internal import actor
@@ -30,8 +30,6 @@
 # all, long for the others, which would only add load to a failing store.
 READER_RETRY_DELAY_MS = 400
 NON_READER_RETRY_DELAY_MS = 1_500
-# Changes kept for resending to hosts that missed a datagram.
-MAX_RECENT_CHANGES = 200
 # Maximum number of addresses in one response; callers accept no more.
 MAX_ADDRESSES = 64
 # With fewer hosts than this in a data centre, its callers also get the
@@ -65,11 +63,9 @@
         self._peers = peers.Peers(settings.name)
         self._hosts: tuple[model.EntryHost, ...] = ()
         self._last_update: messages.ServersUpdated | None = None
-        self._recent_changes: collections.deque[protocol.StoreEntry] = (
-            collections.deque(maxlen=MAX_RECENT_CHANGES)
-        )
-        # All changes after this revision are in _recent_changes.
-        self._recent_changes_start_revision = 0
+        self._recent_changes: recent_changes.RecentChanges[
+            protocol.StoreEntry
+        ] = recent_changes.RecentChanges()
         self._freshness = freshness.Freshness()
         self._is_store_unavailable = False
         self._changes_requested_at_ms = 0
@@ -195,7 +191,7 @@
             case protocol.StoreChanges():
                 self._handle_peer_changes(sender, received, now_ms)
             case protocol.StoreChangesRequest(_, after_revision):
-                self._send_changes(sender, after_revision)
+                self._answer_changes_request(sender, after_revision)
             case protocol.ViewRequest(_, revision, age_ms):
                 self._answer_view_request(sender, revision, age_ms)
             case protocol.ViewPart():
@@ -262,16 +258,20 @@
             )
         )
 
-    def _send_changes(
+    def _answer_changes_request(
         self, recipient: address.Address, after_revision: int
     ) -> None:
-        if after_revision < self._recent_changes_start_revision:
-            return
-        entries = [
-            entry
-            for entry in self._recent_changes
-            if entry.revision > after_revision
-        ]
+        entries = self._recent_changes.since(after_revision)
+        # A host that has missed more changes requests a view.
+        if entries is not None:
+            self._send_changes(recipient, entries, after_revision)
+
+    def _send_changes(
+        self,
+        recipient: address.Address,
+        entries: list[protocol.StoreEntry],
+        after_revision: int,
+    ) -> None:
         for message in self._split_changes(
             entries, after_revision, self._state.revision
         ):
@@ -347,13 +347,13 @@
             self._view_age_ms(), known_age_ms
         ):
             return
-        if (
-            known_revision is not None
-            and known_revision >= self._recent_changes_start_revision
-        ):
-            self._send_changes(recipient, known_revision)
-        else:
+        entries = None
+        if known_revision is not None:
+            entries = self._recent_changes.since(known_revision)
+        if known_revision is None or entries is None:
             self._send_view(recipient)
+        else:
+            self._send_changes(recipient, entries, known_revision)
 
     def _send_view(self, recipient: address.Address) -> None:
         entries = [_to_entry(item) for item in self._state.items()]
@@ -424,8 +424,7 @@
     ) -> None:
         """Replace the state by a complete view, valid at `valid_at_ms`."""
         self._state.replace(items, revision, self._time.now_ms())
-        self._recent_changes.clear()
-        self._recent_changes_start_revision = self._state.revision
+        self._recent_changes.clear(self._state.revision)
         self._freshness.clear_missing_changes()
         self._freshness.confirm(valid_at_ms)
         self._send_updates()
@@ -467,15 +466,7 @@
         ]
         for event in new_events:
             self._state.apply(event, now_ms)
-        if len(self._recent_changes) + len(new_events) > MAX_RECENT_CHANGES:
-            dropped = list(self._recent_changes)[: len(new_events)]
-            self._recent_changes_start_revision = max(
-                [
-                    self._recent_changes_start_revision,
-                    *(entry.revision for entry in dropped),
-                ]
-            )
-        self._recent_changes.extend(_to_entry(event) for event in new_events)
+        self._recent_changes.record([_to_entry(event) for event in new_events])
         self._state.revision = revision
         self._freshness.clear_missing_changes()
         if self._tasks is not None:
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -21,6 +21,7 @@
 from cardamomdeal.entry import fleet_synchronizer
 from cardamomdeal.entry import messages
 from cardamomdeal.fleet import model
+from cardamomdeal.fleet import recent_changes
 from cardamomdeal.fleet import store_readers
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
@@ -422,6 +423,26 @@
         fleet.events.run(IN_FORCE_MS)
         self.assertEqual([], fleet.late_hosts(fleet.version))
 
+    def test_host_misses_more_changes_than_are_kept(self) -> None:
+        # All of them in one response, as after an outage of the store. The
+        # host was sent the last ones alone, as if they were complete.
+        fleet = Fleet(60, 6, 60)
+        cut_host = fleet.hosts[9]
+        fleet.turn_away([cut_host])
+        fleet.events.run(500)
+        del fleet.network.hosts[cut_host.entry.peers]
+        fleet.change_configuration()
+        fleet.store.remove('servers/i-7')
+        for number in range(recent_changes.MAX_CHANGES):
+            fleet.store.put(f'servers/i-{200 + number}', _server(number))
+        fleet.events.run(500)
+        fleet.network.hosts[cut_host.entry.peers] = cut_host
+        fleet.events.run(IN_FORCE_MS - 500)
+        self.assertEqual([], fleet.late_hosts(fleet.version))
+        # Entries that go missing after an outage are retained for a while.
+        fleet.events.run(2_000)
+        self.assertEqual(fleet.hosts[0].servers, cut_host.servers)
+
 
 class CompleteReadsTest(unittest.TestCase):
     """A complete read must not bring back what has changed since it began.
