Check auxiliary servers for idle connections less often

Cause: each of the three servers for readiness, addresses and metrics wakes twice a second to look for idle connections.

Change: they do so every 5 s. A client may keep an idle connection for up to that much longer; the server of callers' requests is unchanged.

--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -32,6 +32,8 @@
 PROGRAM = 'cardamomdeal-entry'
 STORE_TIMEOUT_MS = 800
 AUXILIARY_SERVER_THREADS = 2
+# Interval at which an auxiliary server closes its idle connections.
+AUXILIARY_SERVER_EXPIRY_S = 5.0
 # Share of the stop time in which new requests are still served: callers use
 # an address for a little longer than they are allowed to.
 DRAIN_SHARE = 0.6
@@ -134,15 +136,17 @@
     timer.start()
 
 
-def _auxiliary_server(listen: address.Address, application: Any) -> Any:
-    return serving.ServerTask(
-        wsgi.Server(
-            (listen.host, listen.port),
-            application,
-            numthreads=AUXILIARY_SERVER_THREADS,
-            max=AUXILIARY_SERVER_THREADS,
-        )
+def _auxiliary_server(
+    listen: address.Address, application: Any
+) -> serving.ServerTask:
+    server = wsgi.Server(
+        (listen.host, listen.port),
+        application,
+        numthreads=AUXILIARY_SERVER_THREADS,
+        max=AUXILIARY_SERVER_THREADS,
     )
+    server.expiration_interval = AUXILIARY_SERVER_EXPIRY_S
+    return serving.ServerTask(server)
 
 
 def _drain_callers(
