End an entry host that cannot start, and write its log

Callers saw: nothing directly.

Cause: an exception at the start left the process to a regular exit.

Change: the entry host stops its actors, writes its log within a limit of time and exits, whatever ended it.

Result: both new tests of tests.process.test_entry failed before (timed out after 10 s) and pass, with the two tests of graceful stops.

--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -55,9 +55,21 @@
 
 
 def _run(path: str, settings: settings_model.EntrySettings) -> None:
+    """Serve, write the remaining log and exit, also after a failed start."""
     log_writer = logs.configure_non_blocking(
         settings.name, settings.place, settings.telemetry.log_level
     )
+    exit_code = process.run(PROGRAM, lambda: _serve(path, settings))
+    pykka.ActorRegistry.stop_all(block=False)
+    _exit_within(EXIT_MARGIN_MS, exit_code)
+    log_writer.stop()
+    # A regular exit would wait for the actors and their pending calls to a
+    # store that does not respond.
+    os._exit(exit_code)
+
+
+def _serve(path: str, settings: settings_model.EntrySettings) -> None:
+    """Start all tasks and serve until the process is told to stop."""
     stop_event = process.stop_event()
     time = clock.Clock()
     started_ms = time.wall_ms()
@@ -117,21 +129,18 @@
     log.info('entry host started', extra={'settings': str(settings)})
     stop_event.wait()
     log.info('entry host stopping')
-    _exit_within(settings.bounds.stop_grace_ms - FORCED_EXIT_MARGIN_MS)
+    _exit_within(
+        settings.bounds.stop_grace_ms - FORCED_EXIT_MARGIN_MS, process.EXIT_OK
+    )
     registrar_ref.tell(messages.Unregister())
     synchronizer_ref.tell(messages.PrepareStop())
     _drain_callers(settings, application, callers)
     log.info('entry host stopped')
-    pykka.ActorRegistry.stop_all(block=False)
-    log_writer.stop()
-    # A regular exit would wait for pending calls to a store that does not
-    # respond, and so exceed the stop time.
-    os._exit(process.EXIT_OK)
 
 
-def _exit_within(limit_ms: int) -> None:
+def _exit_within(limit_ms: int, exit_code: int) -> None:
     """Exit the process after the limit even if its shutdown is blocked."""
-    timer = threading.Timer(limit_ms / 1000, os._exit, (process.EXIT_OK,))
+    timer = threading.Timer(limit_ms / 1000, os._exit, (exit_code,))
     timer.daemon = True
     timer.start()
 
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -557,6 +557,50 @@
         stopping_host['process'].send_signal(signal.SIGTERM)
         self.assertEqual(0, stopping_host['process'].wait(STOP_GRACE_S))
 
+    def test_host_that_cannot_start_says_why_and_ends(self):
+        # The threads of its actors kept such a process alive, so that it was
+        # never started again, and what it had logged last was lost.
+        for key in ('callers', 'metrics', 'peers'):
+            with self.subTest(address=key):
+                settings = json.loads(
+                    self.hosts[0]['settings'].read_text().split('\n', 1)[1]
+                )
+                for free in {'callers', 'metrics', 'peers'} - {key}:
+                    settings[free] = f'{LOOPBACK}:{fleet.free_port()}'
+                for free in ('readiness', 'directory'):
+                    settings[free] = f'{LOOPBACK}:{fleet.free_port()}'
+                path = self.hosts[0]['settings'].with_name('second.jsonc')
+                path.write_text(json.dumps(settings))
+                ended = subprocess.run(
+                    [sys.executable, '-m', 'cardamomdeal.entry.main', path],
+                    capture_output=True,
+                    text=True,
+                    timeout=START_TIMEOUT_S,
+                )
+                self.assertNotEqual(0, ended.returncode)
+                self.assertIn(
+                    f'cannot listen on {settings[key]}',
+                    ended.stdout + ended.stderr,
+                )
+
+    def test_unexpected_exception_at_the_start_is_logged(self):
+        program = (
+            'from unittest import mock\n'
+            'from cardamomdeal.entry import main, registrar\n'
+            'registrar.Registrar.start = mock.Mock(side_effect=OSError(7))\n'
+            'main.main()\n'
+        )
+        self.processes[0].kill()
+        self.processes[0].wait()
+        ended = subprocess.run(
+            [sys.executable, '-c', program, self.hosts[0]['settings']],
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+        )
+        self.assertEqual(1, ended.returncode)
+        self.assertIn('OSError: 7', ended.stdout + ended.stderr)
+
     def test_graceful_stop_interrupts_no_request(self):
         statuses = []
         stopping_host = self.hosts[0]
