Let only the readers send changes while hosts start together

Cause: a host reads the store itself until it hears from the two readers, and sent every change that it read to all other hosts. When all hosts start, each registration reached each host many times.

Change: a host that is no preferred reader sends changes only if the preferred ones have had the time to report and did not.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -446,7 +446,7 @@
             return
         has_new_changes = self._apply_changes(events, revision)
         self._freshness.confirm(now_ms)
-        if has_new_changes:
+        if has_new_changes and self._store_readers.should_send_changes(now_ms):
             entries = [_to_entry(event) for event in events]
             for message in self._split_changes(
                 entries, after_revision, revision
@@ -536,7 +536,8 @@
         self._hosts = hosts
         self._peers.set_registered(hosts, self._time.now_ms())
         self._store_readers.set_hosts(
-            {host.name: host.link_mbps for host in (self._host, *hosts)}
+            {host.name: host.link_mbps for host in (self._host, *hosts)},
+            self._time.now_ms(),
         )
 
     def _is_ready(self) -> bool:
--- a/src/cardamomdeal/fleet/store_readers.py
+++ b/src/cardamomdeal/fleet/store_readers.py
@@ -36,17 +36,21 @@
         self._link_mbps: Mapping[str, float] = {name: 0.0}
         self._ranked: list[str] = [name]
         self._reports: dict[str, ProgressReport] = {}
+        self._preferred_since_ms = 0
 
-    def set_hosts(self, link_mbps: Mapping[str, float]) -> None:
+    def set_hosts(self, link_mbps: Mapping[str, float], now_ms: int) -> None:
         """Rank the hosts, given with their links and including this one."""
         if link_mbps == self._link_mbps:
             return
+        previous = self.preferred()
         self._link_mbps = link_mbps
         self._ranked = sorted(
             rendezvous.ranked(RENDEZVOUS_KEY, link_mbps),
             key=lambda name: link_mbps[name],
             reverse=True,
         )
+        if self.preferred() != previous:
+            self._preferred_since_ms = now_ms
 
     def preferred(self) -> list[str]:
         """Return the hosts that read the store while none has failed."""
@@ -62,6 +66,18 @@
         reading = sum(self._is_reading(name, now_ms) for name in preferred)
         return reading < READER_COUNT
 
+    def should_send_changes(self, now_ms: int) -> bool:
+        """Return whether this host sends the changes that it reads.
+
+        Hosts that start together all read until they hear from those that
+        rank before them; if all of them sent, each change would reach every
+        host many times. Reports tell of changes that nobody has sent.
+        """
+        if self.is_preferred_reader():
+            return True
+        could_report = now_ms - self._preferred_since_ms > REPORT_TIMEOUT_MS
+        return could_report and self.is_reader(now_ms)
+
     def is_preferred_reader(self) -> bool:
         """Return whether this host is a reader while no host has failed."""
         return self._name in self.preferred()
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -7,6 +7,7 @@
 configuration for as long as the store turned them away.
 """
 
+import collections
 import heapq
 import itertools
 import json
@@ -29,6 +30,7 @@
 from cardamomdeal.platform import store
 from cardamomdeal.platform import wire
 from cardamomdeal.protocol import codec
+from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
 
 SLOW_LINK_MBPS = 10.0
@@ -133,10 +135,12 @@
         self.hosts: dict[address.Address, Host] = {}
         self._link_free_at_ms: dict[address.Address, float] = {}
         self.sent_bytes = 0
+        self.sent_messages: collections.Counter[type] = collections.Counter()
 
     def send(self, sender: 'Host', command: datagrams.SendTo) -> None:
         """Send a message to each target in the way of a datagram task."""
         data = codec.encode_compressed(command.message)
+        self.sent_messages[type(command.message)] += len(command.to)
         if len(data) > datagrams.MAX_DATAGRAM_BYTES:
             return
         for target in command.to:
@@ -408,6 +412,17 @@
         self.assert_change_is_in_force(fleet)
         self.assertEqual(store_readers.READER_COUNT, len(fleet.store.readers))
 
+    def test_hosts_that_start_together_get_changes_from_few(self) -> None:
+        # All of them read the store at first, and sent each registration to
+        # all others.
+        fleet = Fleet(119, 6, 60)
+        self.assertLessEqual(
+            fleet.network.sent_messages[protocol.StoreChanges],
+            store_readers.READER_COUNT
+            * (SETTLING_MS // WATCH_INTERVAL_MS)
+            * len(fleet.hosts),
+        )
+
     def test_hosts_without_changes_catch_up_over_slow_links(self) -> None:
         fleet = Fleet(60, 0, 60)
         cut_hosts = fleet.hosts[:20]
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -393,7 +393,7 @@
             name: store_readers.StoreReaders(name) for name in self.NAMES
         }
         for readers in readers_by_name.values():
-            readers.set_hosts(dict.fromkeys(self.NAMES, 10.0))
+            readers.set_hosts(dict.fromkeys(self.NAMES, 10.0), 0)
         return readers_by_name
 
     def reading_hosts(self, readers_by_name, now_ms):
@@ -407,7 +407,7 @@
         link_mbps = dict.fromkeys(self.NAMES, 10.0)
         link_mbps |= {'host-7': 200.0, 'host-30': 200.0}
         readers = store_readers.StoreReaders('host-1')
-        readers.set_hosts(link_mbps)
+        readers.set_hosts(link_mbps, 0)
         self.assertEqual({'host-7', 'host-30'}, set(readers.preferred()))
 
     def test_all_hosts_read_without_reports_of_others(self):
@@ -449,6 +449,46 @@
             set(self.NAMES), self.reading_hosts(readers_by_name, 1_100)
         )
 
+    def sending_hosts(self, readers_by_name, now_ms):
+        return {
+            name
+            for name, readers in readers_by_name.items()
+            if readers.should_send_changes(now_ms)
+        }
+
+    def test_only_preferred_readers_send_changes_at_first(self):
+        # Every host reads the store until it hears from the readers.
+        readers_by_name = self.readers_by_name()
+        preferred = set(readers_by_name['host-1'].preferred())
+        self.assertEqual(preferred, self.sending_hosts(readers_by_name, 500))
+
+    def test_other_readers_send_changes_if_preferred_ones_are_silent(self):
+        readers_by_name = self.readers_by_name()
+        later_ms = 1 + store_readers.REPORT_TIMEOUT_MS
+        self.assertEqual(
+            set(self.NAMES), self.sending_hosts(readers_by_name, later_ms)
+        )
+        for readers in readers_by_name.values():
+            for name in self.NAMES:
+                readers.record_report(name, 100, later_ms)
+        self.assertEqual(
+            set(readers_by_name['host-1'].preferred()),
+            self.sending_hosts(readers_by_name, later_ms),
+        )
+
+    def test_new_host_with_a_slow_link_does_not_delay_sending(self):
+        readers = store_readers.StoreReaders('host-1')
+        hosts = {'host-1': 10.0, 'host-2': 200.0, 'host-3': 200.0}
+        readers.set_hosts(hosts, 0)
+        later_ms = 1 + store_readers.REPORT_TIMEOUT_MS
+        readers.set_hosts(hosts | {'host-4': 5.0}, later_ms)
+        self.assertTrue(readers.should_send_changes(later_ms))
+        readers.set_hosts(hosts | {'host-4': 200.0}, later_ms)
+        readers.set_hosts(
+            {'host-1': 10.0, 'host-4': 200.0, 'host-5': 200.0}, later_ms
+        )
+        self.assertFalse(readers.should_send_changes(later_ms))
+
 
 class ServerResponseTest(unittest.TestCase):
     def test_classification_by_status_and_headers(self):
