Tell hosts of a recovery only if the server was suspected

Cause: a success at a server with any recent failure was told to all hosts, also after a single timeout that had kept nothing from it.

Change: only a success at a server whose probability of failing is at least 0.1 is told; the own estimate is lowered as before.

Result: test_success_of_server_that_is_not_suspected_is_not_told fails without the change and passes; tests.unit.test_balancing has 38 passed.

--- a/src/cardamomdeal/balancing/failure_detector.py
+++ b/src/cardamomdeal/balancing/failure_detector.py
@@ -25,6 +25,8 @@
 SUCCESS_LIKELIHOOD_RATIO = 0.12
 # Higher odds would keep traffic from a recovered server for too long.
 MAX_ODDS = 200.0
+# A server that is failing with at least this probability is suspected.
+SUSPECT_PROBABILITY = 0.1
 # Below these odds a server is treated as if it had never failed.
 MIN_TRACKED_ODDS = 0.02
 
@@ -89,6 +91,7 @@
         previous = self._suspicions.get(server)
         if previous is None or started_ms <= previous.last_failure_at_ms:
             return False
+        was_suspected = previous.probability(now_ms) >= SUSPECT_PROBABILITY
         odds = _odds(previous, now_ms) * SUCCESS_LIKELIHOOD_RATIO
         if odds < MIN_TRACKED_ODDS:
             del self._suspicions[server]
@@ -96,7 +99,7 @@
             self._suspicions[server] = dataclasses.replace(
                 previous, odds=odds, updated_at_ms=now_ms
             )
-        return True
+        return was_suspected
 
     def suspicion(self, server: model.Incarnation) -> Suspicion | None:
         """Return the suspicion of a server, or None if there is none."""
--- a/src/cardamomdeal/balancing/server_selection.py
+++ b/src/cardamomdeal/balancing/server_selection.py
@@ -24,8 +24,6 @@
 SLOW_START_COST = 0.1
 # Approximate share of its requests that a failing server fails.
 FAILING_SERVER_COST = 0.9
-# A server that is failing with at least this probability is suspected.
-SUSPECT_PROBABILITY = 0.1
 # Number of least suspected servers compared with the trusted ones.
 SAMPLED_SUSPECTS = 3
 # Hosts see the same load reports; without random jitter all of them would
@@ -123,12 +121,12 @@
     trusted = [
         c
         for c, probability in zip(usable, probabilities, strict=True)
-        if probability < SUSPECT_PROBABILITY
+        if probability < failure_detector.SUSPECT_PROBABILITY
     ]
     suspected = [
         (probability, index)
         for index, probability in enumerate(probabilities)
-        if probability >= SUSPECT_PROBABILITY
+        if probability >= failure_detector.SUSPECT_PROBABILITY
     ]
     return trusted, [usable[index] for _, index in sorted(suspected)]
 
@@ -192,7 +190,10 @@
 ) -> float:
     """Return the cost of the server's load and of waiting for a slot."""
     utilization = candidate.in_flight / candidate.server.slots
-    is_trusted = _failing_probability(candidate, now_ms) < SUSPECT_PROBABILITY
+    is_trusted = (
+        _failing_probability(candidate, now_ms)
+        < failure_detector.SUSPECT_PROBABILITY
+    )
     if candidate.load and is_trusted:
         # Without a valid report the server is assumed to be as busy as the
         # others. A server that never sent a report is new and should get
--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -113,7 +113,7 @@
         # At a healthy server 1 request in 30 exceeds its deadline. Healthy
         # servers that were avoided for that left too few for the rest.
         one = self.record_failures(SILENT).probability(1_000)
-        self.assertLess(one, server_selection.SUSPECT_PROBABILITY)
+        self.assertLess(one, failure_detector.SUSPECT_PROBABILITY)
         two = self.record_failures(SILENT).probability(1_000)
         self.assertLess(two, 0.25)
 
@@ -142,6 +142,12 @@
         self.assertTrue(self.detector.record_success(('s', 1), 1_201, 1_400))
         self.assertIsNone(self.detector.suspicion(('s', 1)))
 
+    def test_success_of_server_that_is_not_suspected_is_not_told(self):
+        # Successes after single timeouts were told to all hosts.
+        self.record_failures(SILENT)
+        self.assertFalse(self.detector.record_success(('s', 1), 1_001, 1_200))
+        self.assertIsNone(self.detector.suspicion(('s', 1)))
+
     def test_one_success_after_many_failures_keeps_suspicion(self):
         # A server that fails six of ten requests still completes four.
         self.record_failures(ERROR, ERROR, ERROR)
