--- a/tests/unit/test_balancing.py
+++ b/tests/unit/test_balancing.py
@@ -401,6 +401,20 @@
         )
         self.assertEqual((0, 1, 2, 3, 4), probes.indexes)
 
+    def test_capacity_floor_is_enforced_before_a_tenth_of_attempts_fail(self):
+        # Callers lose about twice of what hosts see fail, and the floor
+        # counts from a tenth of their requests.
+        for share, is_enforced in ((0.04, False), (0.06, True)):
+            with self.subTest(failure_share=share):
+                probes = probing.plan(
+                    [suspicion(2, 0)] * 8,
+                    TRUSTED,
+                    dataclasses.replace(HEALTHY_SERVICE, failure_share=share),
+                    False,
+                    10_000,
+                )
+                self.assertEqual(is_enforced, probes != probing.NO_PROBES)
+
     def test_capacity_floor_is_enforced_while_trusted_servers_are_busy(self):
         # Servers that had failed once were avoided for up to 16 s, while a
         # third of the others took all requests and callers left.
