Refuse every request once a stopping host cannot finish it

Cause: the refusals began only once the poll of connections had ended, up to 0.5 s late, and the poll passed on whatever woke it. Besides, the library's loop started the stopped poll again without a pause, and the stop waited for a moment without a poll. Change: the dispatcher rejects all new requests from that moment on, the poll refuses what becomes readable, and a stopped poll is not started again.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -33,6 +33,8 @@
 NO_CONFIGURATION_RETRY_AFTER_MS = 300
 # The servers of a service change within about this time.
 NO_SERVER_RETRY_AFTER_MS = 500
+# The other hosts take requests at once.
+STOPPING_RETRY_AFTER_MS = 0
 # A server cannot complete a request in less time.
 MIN_REMAINING_MS = 20
 # Attempts that did not reach a server use up neither the attempts of the
@@ -95,6 +97,7 @@
         ] = idle_connections.IdleConnections()
         self._reuse_limit = connection_reuse.ReuseLimit()
         self._requests: dict[int, _Request] = {}
+        self._is_stopping = False
         self._next_admission_id = 1
         self._counters: collections.Counter[str] = collections.Counter()
         self._histograms = histograms.LatencyHistograms()
@@ -116,6 +119,12 @@
                 return self._retry(admission_id, result)
             case messages.Finished(admission_id, result, server_connection):
                 self._finish(admission_id, result, server_connection)
+            case messages.StopAdmitting():
+                self._is_stopping = True
+                log.info(
+                    'new requests are refused from now on',
+                    extra={'in_flight': len(self._requests)},
+                )
             case messages.RoutesUpdated(table):
                 self._routes = table
             case messages.ServersUpdated(servers, host_count):
@@ -153,6 +162,11 @@
                 self._record_peer_recovery(incarnation, host)
 
     def _admit(self, admit: messages.Admit) -> messages.Decision:
+        if self._is_stopping:
+            # The process would exit before the server has answered.
+            return self._reject(
+                admit, 503, 'this host is stopping', STOPPING_RETRY_AFTER_MS
+            )
         if self._routes is None:
             return self._reject(
                 admit,
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -149,7 +149,7 @@
     )
     synchronizer_ref.tell(messages.PrepareStop())
     registrar_ref.tell(messages.Unregister())
-    _drain_callers(settings, application, callers)
+    _drain_callers(settings, application, callers, dispatcher_ref)
     log.info('entry host stopped')
 
 
@@ -174,12 +174,16 @@
     settings: settings_model.EntrySettings,
     application: server.Application,
     callers: serving.ServerTask,
+    dispatcher_ref: pykka.ActorRef[Any],
 ) -> None:
     """Serve callers that still use this address, then stop the server."""
     application.disable_keep_alive()
     grace_ms = settings.bounds.stop_grace_ms - EXIT_MARGIN_MS
     drain_ms = round(grace_ms * DRAIN_SHARE)
     clock.wait_ms(threading.Event(), drain_ms)
+    # Requests also arrive on connections that a thread is serving, and the
+    # server notices only after a while that it is to stop.
+    dispatcher_ref.tell(messages.StopAdmitting())
     thread = threading.Thread(target=callers.finish, daemon=True)
     thread.start()
     thread.join((grace_ms - drain_ms) / 1000)
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -74,6 +74,11 @@
     connection: connection.BackendConnection | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAdmitting:
+    """Order to reject all further requests, as this host is stopping."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutesUpdated:
     """Routes of a newer configuration."""
--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -2,6 +2,7 @@
 
 import logging
 import queue
+import threading
 from typing import Any
 
 from cheroot import connections
@@ -18,6 +19,9 @@
 MAX_PENDING_MS = 100
 # Connections that it accepts before it closes the listening socket.
 MAX_PENDING_CONNECTIONS = 64
+# Pause after an unexpected exception, such as a lack of file descriptors,
+# that would be raised again at once.
+POLL_RETRY_MS = 50
 
 log = logging.getLogger(__name__)
 
@@ -115,6 +119,7 @@
     ) -> None:
         super().__init__((listen.host, listen.port), application, **options)
         self.requests = _ConnectionWorkers(self, threads)
+        self._stopping = threading.Event()
 
     def prepare(self) -> None:
         """Open the listening socket."""
@@ -122,6 +127,18 @@
         self._connections.close()
         self._connections = _Connections(self)
 
+    def serve(self) -> None:
+        """Poll the connections until the server is stopped."""
+        # The loop of the library starts a poll that was stopped again for as
+        # long as `ready` is set, without a pause, and `stop` waits for a
+        # moment in which no poll runs.
+        while not self._stopping.is_set():
+            try:
+                self._connections.run(self.expiration_interval)
+            except Exception:
+                log.exception('polling of connections failed')
+                clock.wait_ms(self._stopping, POLL_RETRY_MS)
+
     def process_conn(self, conn: Connection) -> None:
         """Serve a readable connection, or refuse it if too many wait."""
         if not conn.was_polled:
@@ -129,6 +146,10 @@
             conn.was_polled = True
             self.put_conn(conn)
             return
+        if self._stopping.is_set():
+            # There is not enough time left to serve the request.
+            self.refuse(conn)
+            return
         try:
             self.requests.put(conn)
         except (queue.Full, RuntimeError):
@@ -139,13 +160,11 @@
         conn.close()
 
     def stop(self) -> None:
-        """Stop listening, and refuse the requests that arrive meanwhile.
-
-        There is not enough time left to serve them.
-        """
+        """Stop listening, and refuse the requests that arrive meanwhile."""
         if not self.ready:
             return
-        # Returns up to half a second after the last connection was accepted.
+        self._stopping.set()
+        # Returns up to half a second later.
         self._connections.stop()
         self._connections.stop_listening()
         time = clock.Clock()
@@ -154,6 +173,3 @@
             if not self._connections.refuse_ready(PENDING_TIMEOUT_S):
                 break
         super().stop()
-
-    def _serve_unservicable(self) -> None:
-        """End the thread in which the library would refuse connections."""
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -122,14 +122,14 @@
                 process.kill()
             process.wait()
 
-    def put_configuration(self, version, route_names):
+    def put_configuration(self, version, route_names, timeout='2000ms'):
         routes = [
             [
                 name,
                 'shop.example',
                 f'/{name}/',
                 name if name in ROUTE_KINDS else 'safe',
-                '2000ms',
+                timeout,
                 2,
                 'lager',
             ]
@@ -860,6 +860,73 @@
         self.assertGreater(last_taken_s, 0.4 * STOP_GRACE_S)
         self.assertLessEqual(last_taken_s, 0.5 * STOP_GRACE_S)
 
+    def test_stopping_host_cuts_no_request_sent_on_a_kept_connection(self):
+        # For up to half a second after the host was to take no more requests,
+        # the poll of its connections still passed on whatever woke it.
+        self.put_configuration(2, ['unsafe'], timeout='4000ms')
+        time.sleep(1.8)
+        kept = [self.connect(host) for host in self.hosts]
+        for n, opened in enumerate(kept):
+            self.write_order(opened, f'first-{n}')
+            self.assertEqual(200, self.read_response(opened).status)
+        for host in self.hosts:
+            host['process'].send_signal(signal.SIGTERM)
+        time.sleep(0.5 * STOP_GRACE_S)
+        for backend in self.backends:
+            backend.latency_s = 0.43 * STOP_GRACE_S
+        for n, opened in enumerate(kept):
+            with contextlib.suppress(ConnectionError), opened:
+                self.write_order(opened, f'late-{n}')
+                self.assertEqual(503, self.read_response(opened).status)
+        # A connection may end without an answer only if nothing has run.
+        time.sleep(0.2)
+        for n in range(len(kept)):
+            self.assertEqual(0, self.run_count(f'late-{n}'))
+
+    def test_stopping_host_refuses_a_lookup_behind_one_that_it_serves(self):
+        # The thread that serves a connection passed on what arrived on it
+        # until the process exited.
+        self.put_configuration(2, ['safe'], timeout='4000ms')
+        time.sleep(1.8)
+        for backend in self.backends:
+            backend.latency_s = 0.6 * STOP_GRACE_S
+        opened = self.connect(self.hosts[0])
+        self.addCleanup(opened.close)
+        self.write_lookup(opened, 'before')
+        time.sleep(0.2)
+        self.hosts[0]['process'].send_signal(signal.SIGTERM)
+        time.sleep(0.5 * STOP_GRACE_S)
+        self.write_lookup(opened, 'behind')
+        statuses = [self.read_response(opened).status for _ in range(2)]
+        self.assertEqual([200, 503], statuses)
+        self.assertEqual(0, self.run_count('behind'))
+
+    def write_lookup(self, opened, request_id):
+        opened.sendall(
+            (
+                f'GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n'
+                f'{wire.REQUEST_ID}: {request_id}\r\n'
+                f'{wire.DEADLINE_MS}: 8000\r\n\r\n'
+            ).encode()
+        )
+
+    def write_order(self, opened, request_id):
+        opened.sendall(
+            (
+                f'POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\n'
+                f'{wire.REQUEST_ID}: {request_id}\r\n'
+                f'{wire.DEADLINE_MS}: 8000\r\nContent-Length: 1\r\n\r\nx'
+            ).encode()
+        )
+
+    def read_response(self, opened):
+        """Read one response, and leave the connection for the next one."""
+        response = http.client.HTTPResponse(opened)
+        response.fp = _UnbufferedReader(opened)
+        response.begin()
+        response.data = response.read()
+        return response
+
 
 class _UnbufferedReader:
     """Unbuffered file object that consecutive responses can share."""
