Retain missing entries only after an outage that could expire them

Cause: hosts whose view was stale for want of a confirmation took their own first read of the store for the end of an outage, and retained the missing entry for 1.5 s more. Change: the grace period needs a failed call of this host since its view was last confirmed, and a view older than an entry's life allows (new setting heartbeat, from the platform's settings). Tests: test_while_the_store_turns_the_readers_away failed before in all four cases and passes now, for the readers too; FreshnessTest has the decision.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -70,7 +70,7 @@
         self._recent_changes: recent_changes.RecentChanges[
             protocol.StoreEntry
         ] = recent_changes.RecentChanges()
-        self._freshness = freshness.Freshness()
+        self._freshness = freshness.Freshness(settings.heartbeat_ms)
         self._is_store_unavailable = False
         self._changes_requested_at_ms = 0
         # Delays the first request, to give the store time to respond.
@@ -473,6 +473,7 @@
         return bool(new_events)
 
     def _record_store_failure(self, reason: str) -> None:
+        self._freshness.record_failure(self._time.now_ms())
         if not self._is_store_unavailable:
             self._is_store_unavailable = True
             log.warning(
@@ -490,12 +491,12 @@
         self._end_outage(now_ms)
 
     def _end_outage(self, now_ms: int) -> None:
-        """Retain entries if this is the first news of the store for long.
+        """Retain entries if this is the first news after a long outage.
 
         A failed call of this host is no outage while other hosts read the
         store and confirm its view.
         """
-        if self._freshness.was_confirmed and self._freshness.is_stale(now_ms):
+        if self._freshness.may_miss_expired_entries(now_ms):
             self._state.start_grace_period(now_ms)
 
     def _send_updates(self) -> None:
--- a/src/cardamomdeal/fleet/freshness.py
+++ b/src/cardamomdeal/fleet/freshness.py
@@ -6,6 +6,9 @@
 # A host that knows of changes but has not received them within this time
 # reads them from the store: they were lost or are too large for a datagram.
 MISSING_CHANGES_TIMEOUT_MS = 500
+# An entry expires after three heartbeats without a renewal, the last of which
+# may have been due just before the outage; it may also have come early.
+MIN_OUTAGE_HEARTBEATS = 1.7
 
 
 class Freshness:
@@ -15,14 +18,20 @@
     it within two seconds, so each one reads it from the store.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_ms: int) -> None:
+        self._min_outage_ms = round(MIN_OUTAGE_HEARTBEATS * heartbeat_ms)
         self._confirmed_at_ms: int | None = None
+        self._failed_at_ms: int | None = None
         self._missing_changes_since_ms: int | None = None
 
     def confirm(self, at_ms: int) -> None:
         """Record that the view was complete at the given time."""
         self._confirmed_at_ms = max(self._confirmed_at_ms or 0, at_ms)
 
+    def record_failure(self, now_ms: int) -> None:
+        """Record that this host could not read the store."""
+        self._failed_at_ms = now_ms
+
     def record_missing_changes(self, now_ms: int) -> None:
         """Record that there are changes which this host has not received."""
         if self._missing_changes_since_ms is None:
@@ -51,6 +60,17 @@
         """Return whether the view was last confirmed too long ago."""
         return self.age_ms(now_ms) > STALE_MS
 
+    def may_miss_expired_entries(self, now_ms: int) -> bool:
+        """Return whether entries may have expired in an outage of the store.
+
+        A view also gets stale when the store turns only the store readers
+        away. Other hosts then read it before an entry can expire.
+        """
+        if self._confirmed_at_ms is None or self._failed_at_ms is None:
+            return False
+        has_failed = self._failed_at_ms >= self._confirmed_at_ms
+        return has_failed and self.age_ms(now_ms) >= self._min_outage_ms
+
     def needs_store_read(self, now_ms: int) -> bool:
         """Return whether this host must read the store itself."""
         since_ms = self._missing_changes_since_ms
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -125,6 +125,8 @@
     store: address.Address
     # Bandwidth of the host's link; 0 if unknown.
     link_mbps: float
+    # Interval at which backend servers renew their entries in the store.
+    heartbeat_ms: int
     bounds: Bounds
 
 
@@ -138,6 +140,7 @@
     'peers',
     'metrics',
     'link_mbps',
+    'heartbeat_ms',
 )
 
 
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -19,6 +19,7 @@
 Name = Annotated[str, pydantic.StringConstraints(pattern=r'^[a-z0-9._-]+$')]
 PositiveInt = Annotated[int, pydantic.Field(strict=True, gt=0)]
 DEFAULT_KEEP_FOR_MS = 30_000
+DEFAULT_HEARTBEAT_MS = 1_500
 
 
 class ProcessModel(pydantic.BaseModel):
@@ -126,6 +127,8 @@
     # Bandwidth of the host's link. Hosts with the fastest links read the store
     # on behalf of all.
     link_mbps: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    # Interval at which backend servers renew their entries in the store.
+    heartbeat: units.DurationMs = DEFAULT_HEARTBEAT_MS
     bounds: BoundsModel
     statsd: Address | None = None
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -227,6 +227,7 @@
             directory=own,
             peers=own,
             link_mbps=link_mbps,
+            heartbeat_ms=1_500,
             seeds=(),
             metrics=own,
             store=own,
@@ -540,7 +541,8 @@
 
     Entries that go missing after an outage of the store are retained for a
     while. Hosts retained those of servers that had left although no outage
-    came before: after their first read, and after a failed call long ago.
+    came before: after their first read, after a failed call long ago, and
+    while the store turned the store readers away.
     """
 
     def assert_server_leaves(self, fleet: Fleet) -> None:
@@ -560,6 +562,24 @@
             host.tell(messages.FollowStore(True, 0, WATCH_INTERVAL_MS))
         self.assert_server_leaves(fleet)
 
+    def test_while_the_store_turns_the_readers_away(self) -> None:
+        # The time of the removal, and of the calls that fail meanwhile,
+        # within the interval at which the readers send what they know.
+        for removed_after_ms in (0, 100, 500, 1_000):
+            with self.subTest(removed_after_ms=removed_after_ms):
+                fleet = Fleet(20, 2, 10)
+                readers = [h for h in fleet.hosts if h.synchronizer.is_reading]
+                self.assertEqual(store_readers.READER_COUNT, len(readers))
+                for host in readers:
+                    host.reaches_store = False
+                fleet.events.run(removed_after_ms)
+                fleet.store.remove('servers/i-7')
+                fleet.events.run(2_000)
+                late = [
+                    h.entry.name for h in fleet.hosts if 'i-7' in h.servers
+                ]
+                self.assertEqual([], late)
+
     def test_after_first_read(self) -> None:
         self.assert_server_leaves(Fleet(20, 2, 10, settling_ms=300))
 
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -73,6 +73,7 @@
     'info': {'service': 'lager', 'version': 'v1', 'zone': 'a', 'slots': 3},
     'status': {'state': 'ready', 'seq': 4, 'cold_remaining': '0ms'},
 }
+HEARTBEAT_MS = 1_500
 
 
 def encoded(value):
@@ -211,7 +212,7 @@
     """
 
     def setUp(self):
-        self.view = freshness.Freshness()
+        self.view = freshness.Freshness(HEARTBEAT_MS)
         self.view.confirm(10_000)
 
     def test_recently_confirmed_view_needs_no_store_read(self):
@@ -230,6 +231,15 @@
         self.view.clear_missing_changes()
         self.assertFalse(self.view.needs_store_read(10_700))
 
+    def test_entries_may_expire_only_in_a_long_outage(self):
+        # A host that is not served while others are, or that was suspended,
+        # must not take the entries of servers that left for expired ones.
+        self.view.record_failure(11_500)
+        self.assertFalse(self.view.may_miss_expired_entries(12_000))
+        self.assertTrue(self.view.may_miss_expired_entries(13_000))
+        self.view.confirm(12_900)
+        self.assertFalse(self.view.may_miss_expired_entries(18_000))
+
 
 class ServerEntryTest(unittest.TestCase):
     def test_complete_entry_is_decoded(self):
