Read chunked bodies to their end, and keep idle connections off threads

Cause: the library leaves the last line end of a chunked body unread; it was taken for the begin of a request, so the connection kept its thread. Change: chunked bodies are read to their end and in small parts, empty lines between requests are discarded, and a connection whose body was not read is closed, after what its caller still sends has been discarded. The gateway had the fault as well and shares the reader.

--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -13,6 +13,8 @@
 
 from cheroot import server as cheroot_server
 
+from cardamomdeal.internal import http_server
+
 # Maximum number of requests of one connection that are in flight.
 MAX_PIPELINED = 16
 HEAD_END = b'\r\n\r\n'
@@ -32,7 +34,7 @@
 class _BufferedConnection:
     """Wrapper of a connection that buffers the response to one request."""
 
-    def __init__(self, connection: cheroot_server.HTTPConnection) -> None:
+    def __init__(self, connection: http_server.Connection) -> None:
         self._connection = connection
         self.wfile = io.BytesIO()
         self.finished = threading.Event()
@@ -59,7 +61,7 @@
 
     def __init__(
         self,
-        connection: cheroot_server.HTTPConnection,
+        connection: http_server.Connection,
         workers: futures.Executor,
     ) -> None:
         self._connection = connection
@@ -101,18 +103,16 @@
         While requests are in flight, a head is read only once it is complete:
         waiting for the rest of it would delay finished responses.
         """
-        if self._in_flight:
-            return self._peek_unread() is _UnreadData.HEAD
-        if self._connection.rfile.has_data():
-            return True
-        return self._is_readable()
+        if not self._connection.has_request():
+            return False
+        return not self._in_flight or self._peek_unread() is _UnreadData.HEAD
 
     def _peek_unread(self) -> '_UnreadData':
         """Return what has been received, without reading it."""
         unread = b''
         if self._connection.rfile.has_data():
             unread = self._connection.rfile.peek(1)
-        if not self._is_readable():
+        if not self._connection.is_readable():
             data = unread
         else:
             try:
@@ -129,11 +129,6 @@
             return _UnreadData.HEAD
         return _UnreadData.PARTIAL_HEAD if data else _UnreadData.NOTHING
 
-    def _is_readable(self) -> bool:
-        poller = select.poll()
-        poller.register(self._connection.socket, select.POLLIN)
-        return bool(poller.poll(0))
-
     def _read_request(self) -> None:
         buffer = _BufferedConnection(self._connection)
         request = self._connection.RequestHandlerClass(
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -6,8 +6,6 @@
 import threading
 from typing import Any
 
-from cheroot import wsgi
-
 from cardamomdeal.backend import errors as backend_errors
 from cardamomdeal.entry import caller
 from cardamomdeal.entry import errors
@@ -117,7 +115,7 @@
             return caller.error_response(500, 'internal error', request_id)
 
 
-class _SocketGateway(wsgi.Gateway_10):
+class _SocketGateway(http_server.Gateway):
     """WSGI gateway that adds the caller's socket to the environ."""
 
     def get_environ(self) -> dict[str, Any]:
--- a/src/cardamomdeal/gateway/server.py
+++ b/src/cardamomdeal/gateway/server.py
@@ -14,6 +14,7 @@
 from cardamomdeal.gateway import caller
 from cardamomdeal.gateway import errors
 from cardamomdeal.gateway import forwarding
+from cardamomdeal.internal import http_server
 from cardamomdeal.internal import refusals
 from cardamomdeal.routing import outcomes
 from cardamomdeal.settings import model
@@ -80,7 +81,7 @@
             )
 
 
-class _HttpRequest(cheroot_server.HTTPRequest):
+class _HttpRequest(http_server.Request):
     """HTTP request whose error responses from cheroot state an outcome."""
 
     def simple_response(self, status: str, msg: str = '') -> None:
@@ -104,7 +105,7 @@
         self.conn.wfile.write(head + body)
 
 
-class _HttpConnection(cheroot_server.HTTPConnection):
+class _HttpConnection(http_server.Connection):
     RequestHandlerClass = _HttpRequest
 
 
@@ -153,6 +154,7 @@
         accepted_queue_timeout=QUEUE_TIMEOUT_S,
     )
     server.ConnectionClass = _HttpConnection
+    server.gateway = http_server.Gateway
     server.max_request_header_size = MAX_HEADER_BYTES
     server.server_name = 'cardamomdeal'
     return server
--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -2,6 +2,8 @@
 
 import logging
 import queue
+import select
+import socket
 import threading
 from typing import Any
 
@@ -10,6 +12,7 @@
 from cheroot import wsgi
 
 from cardamomdeal.internal import address
+from cardamomdeal.internal import chunked_body
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import thread_pool
 
@@ -22,16 +25,102 @@
 # Pause after an unexpected exception, such as a lack of file descriptors,
 # that would be raised again at once.
 POLL_RETRY_MS = 50
+# After the last response, a connection is read until its client closes it, has
+# sent nothing for this long, or has sent for this long in all.
+DISCARD_TIMEOUT_S = 0.1
+MAX_DISCARD_MS = 2_000
+DISCARD_BYTES = 16 * 1024
 
 log = logging.getLogger(__name__)
 
 
+class Request(cheroot_server.HTTPRequest):
+    """Request that closes its connection if its body is not read."""
+
+    def send_headers(self) -> None:
+        """Send the head of the response."""
+        # The library reads the rest of a body into memory, but not if it is
+        # sent in chunks; that rest would be taken for the next request.
+        if self._has_unread_body():
+            self.close_connection = True
+        super().send_headers()
+
+    def _has_unread_body(self) -> bool:
+        match self.rfile:
+            case cheroot_server.KnownLengthRFile(remaining=remaining):
+                return remaining > 0
+            case cheroot_server.ChunkedRFile(closed=is_read):
+                return not is_read
+            case _:
+                return False
+
+
+class Gateway(wsgi.Gateway_10):
+    """WSGI gateway that reads chunked bodies to their end."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the environ of the request."""
+        if self.req.chunked_read:
+            self.req.rfile = chunked_body.ChunkedBody(self.req.conn.rfile)
+        return super().get_environ()
+
+
 class Connection(cheroot_server.HTTPConnection):
     """Connection of a client."""
 
+    RequestHandlerClass = Request
     # Whether the server has polled the connection for its first request.
     was_polled = False
 
+    def communicate(self) -> bool:
+        """Serve one request; return whether to keep the connection open."""
+        if not self.has_request():
+            return True
+        return super().communicate()
+
+    def has_request(self) -> bool:
+        """Discard empty lines; return whether anything is left to be read.
+
+        Some clients send an empty line after a body (RFC 9112, 2.2). Taken for
+        a part of the next request, it would occupy a thread.
+        """
+        while self.rfile.has_data() or self.is_readable():
+            # Blocks only if nothing has been received.
+            if not self.rfile.peek(1).startswith(cheroot_server.CRLF):
+                return True
+            self.rfile.read(len(cheroot_server.CRLF))
+        return False
+
+    def is_readable(self) -> bool:
+        """Return whether bytes or the end of the connection have arrived."""
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def close_after_response(self) -> None:
+        """Close the connection when the client has received the response.
+
+        Closing a socket with unread data resets the connection, and the client
+        may lose a response that it has not read.
+        """
+        discard_received(self.socket, MAX_DISCARD_MS)
+        self.close()
+
+
+def discard_received(client_socket: socket.socket, max_ms: int) -> None:
+    """End a connection's responses and discard what is still received."""
+    time = clock.Clock()
+    end_ms = time.now_ms() + max_ms
+    received = bytearray(DISCARD_BYTES)
+    try:
+        client_socket.shutdown(socket.SHUT_WR)
+        client_socket.settimeout(DISCARD_TIMEOUT_S)
+        while client_socket.recv_into(received) and time.now_ms() < end_ms:
+            pass
+    except OSError:
+        # The client has left, or sends nothing more.
+        return
+
 
 class _Connections(connections.ConnectionManager):
     """Connections without a request in progress, and the listening socket."""
@@ -90,7 +179,7 @@
             timeout_ms=None if timeout is None else round(timeout * 1_000)
         )
 
-    def _serve(self, connection: cheroot_server.HTTPConnection) -> None:
+    def _serve(self, connection: Connection) -> None:
         keep_open = False
         try:
             keep_open = connection.communicate()
@@ -102,7 +191,7 @@
             if keep_open:
                 self._server.put_conn(connection)
             else:
-                connection.close()
+                connection.close_after_response()
 
 
 class PolledServer(wsgi.Server):
@@ -118,6 +207,7 @@
         **options: Any,
     ) -> None:
         super().__init__((listen.host, listen.port), application, **options)
+        self.gateway = Gateway
         self.requests = _ConnectionWorkers(self, threads)
         self._stopping = threading.Event()
 
--- a/src/cardamomdeal/internal/refusals.py
+++ b/src/cardamomdeal/internal/refusals.py
@@ -7,9 +7,13 @@
 
 from cheroot import server as cheroot_server
 
+from cardamomdeal.internal import http_server
+
 MAX_QUEUED_CONNECTIONS = 256
 SOCKET_TIMEOUT_S = 0.1
 STOP_TIMEOUT_S = 1.0
+# The other connections wait for one whose client goes on sending.
+MAX_DISCARD_MS = 200
 READ_SIZE_BYTES = 64 * 1024
 RESPONSE_BODY = b'no thread is free; the request was not run\n'
 
@@ -58,9 +62,7 @@
         # caller could lose the response saying that its request was not run.
         client_socket.recv(READ_SIZE_BYTES)
         client_socket.sendall(self._response)
-        client_socket.shutdown(socket.SHUT_WR)
-        while client_socket.recv(READ_SIZE_BYTES):
-            pass
+        http_server.discard_received(client_socket, MAX_DISCARD_MS)
 
 
 def _build_response(headers: tuple[tuple[str, str], ...]) -> bytes:
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -432,6 +432,36 @@
             for opened in connections:
                 opened.close()
 
+    def test_kept_connections_with_chunked_bodies_stay_idle(self):
+        # The end of a chunked body was taken for the begin of a request, so
+        # each connection kept a thread, then got 408, and others got 503.
+        for backend in self.backends:
+            backend.latency_s = 0.01
+        kept = [self.connect(self.hosts[0]) for _ in range(80)]
+        for n, opened in enumerate(kept):
+            self.addCleanup(opened.close)
+            self.write_chunked_order(opened, f'first-{n}')
+            self.assertEqual(200, self.read_response(opened).status)
+        # Longer than the configured header timeout.
+        time.sleep(1.3)
+        for n, opened in enumerate(kept):
+            opened.setblocking(False)
+            with self.assertRaises(BlockingIOError):
+                opened.recv(1)
+            opened.settimeout(5)
+            self.write_chunked_order(opened, f'second-{n}')
+            self.assertEqual(200, self.read_response(opened).status)
+
+    def write_chunked_order(self, opened, request_id):
+        opened.sendall(
+            (
+                f'POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\n'
+                f'{wire.REQUEST_ID}: {request_id}\r\n'
+                f'Transfer-Encoding: chunked\r\n\r\n'
+                f'5\r\norder\r\n0\r\n\r\n'
+            ).encode()
+        )
+
     def test_ready_and_addresses_come_while_all_caller_threads_are_busy(self):
         for backend in self.backends:
             backend.latency_s = 1.5
