Decide when a request is read whether its response closes the connection

Cause: the library decides again when it writes a head, and closes once the server is not ready; the requests behind, already passed on, were dropped. Change: the pipeline alone decides, when it reads a request, and reads nothing behind one whose response closes the connection.

--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -156,8 +156,11 @@
                     _PipelinedRequest(request, buffer, future)
                 )
             return
-        if self._connection.server.keep_alive_disabled.is_set():
-            # The response to this request closes the connection.
+        # Decided only here: callers send the requests behind a response that
+        # closes the connection once more, so it must be the last one.
+        if server.must_close_connections():
+            request.close_connection = True
+        if request.close_connection:
             self._accepts_requests = False
         future = self._workers.submit(self._serve, request, buffer)
         self._in_flight.append(_PipelinedRequest(request, buffer, future))
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -73,22 +73,15 @@
             self._server.timeout = idle_ms / 1000
 
     def disable_keep_alive(self) -> None:
-        """Send `Connection: close` with responses from now on."""
+        """Close connections after the next request that is read on them."""
         self.keep_alive_disabled.set()
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request."""
-        # Decided before the request is served. Callers retry pipelined
-        # requests if the response before them closes the connection, so that
-        # response must be the last one.
-        close_connection = self.keep_alive_disabled.is_set()
         response = self._serve(environ)
-        headers = list(response.headers)
-        if close_connection:
-            headers.append(('Connection', 'close'))
-        start_response(response.status_line, headers)
+        start_response(response.status_line, list(response.headers))
         return [response.body]
 
     def _serve(self, environ: dict[str, Any]) -> caller.Response:
@@ -153,6 +146,22 @@
         self._refusals = refusals.RefusalTask((('Retry-After', '0.5'),))
         super().prepare()
 
+    def must_close_connections(self) -> bool:
+        """Return whether a request read now is the last on its connection."""
+        return (
+            self.keep_alive_disabled.is_set()
+            or not super().can_add_keepalive_connection
+        )
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Keep the library from closing a connection after a response.
+
+        It decides when it writes the response, although requests behind it may
+        have been read and passed on; see `must_close_connections`.
+        """
+        return True
+
     def refuse(self, conn: http_server.Connection) -> None:
         """Respond that the request was not run, and close."""
         self._refusals.refuse(conn)
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -913,6 +913,27 @@
         for n in range(len(kept)):
             self.assertEqual(0, self.run_count(f'late-{n}'))
 
+    def test_stopping_host_answers_lookups_behind_a_slow_one(self):
+        # The slow response closed the connection, and those behind it, which
+        # the host had had for seconds, were thrown away.
+        self.put_configuration(2, ['safe'], timeout='4000ms')
+        time.sleep(1.8)
+        for backend in self.backends:
+            backend.latency_s = 0.6 * STOP_GRACE_S
+        opened = self.connect(self.hosts[0])
+        self.addCleanup(opened.close)
+        self.write_lookup(opened, 'slow')
+        self.wait_until(lambda: self.run_count('slow'))
+        for backend in self.backends:
+            backend.latency_s = 0.1
+        self.write_lookup(opened, 'behind-1')
+        self.write_lookup(opened, 'behind-2')
+        self.wait_until(lambda: self.run_count('behind-2'))
+        self.hosts[0]['process'].send_signal(signal.SIGTERM)
+        responses = [self.read_response(opened) for _ in range(3)]
+        self.assertEqual([200] * 3, [r.status for r in responses])
+        self.assertEqual(b'answer to behind-2', responses[2].data)
+
     def test_stopping_host_refuses_a_lookup_behind_one_that_it_serves(self):
         # The thread that serves a connection passed on what arrived on it
         # until the process exited.
