--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -6,32 +6,23 @@
 import json
 import os
 import pathlib
-import re
 import signal
 import socket
 import subprocess
 import sys
-import tempfile
 import threading
 import time
-import unittest
 
-from cheroot import wsgi
 import urllib3
 
 from cardamomdeal.platform import wire
 from devel import fleet
 from devel import store_standin
+from tests import entry_case
 
-START_TIMEOUT_S = 10
-LOOPBACK = '127.0.0.1'
-BACKEND_LATENCY_S = 0.15
-STOP_GRACE_S = 6
-PAUSE_S = 1.5
+LOOPBACK = entry_case.LOOPBACK
+STOP_GRACE_S = entry_case.STOP_GRACE_S
 MAX_THREADS_AT_REST = 16
-ROUTE_KINDS = ('safe', 'unsafe', 'upload')
-# Services of the routes that do not go to the sound servers.
-SERVICES = {'flooded': 'flooded'}
 MIB = 1024**2
 # Above this, the platform kills the process.
 MEMORY_MB = 300
@@ -39,261 +30,7 @@
 AT_REST_MB = 135
 
 
-class Backend:
-    """Backend server that counts how often it runs each request."""
-
-    def __init__(self, server_id):
-        self.server_id = server_id
-        self.port = fleet.free_port()
-        self.mode = 'work'
-        self.latency_s = BACKEND_LATENCY_S
-        self.run_counts = collections.Counter()
-        self.client_ports = set()
-        self.request_count = 0
-        self.bodies = {}
-        self._server = wsgi.Server(
-            (LOOPBACK, self.port), self._serve, numthreads=16, max=16
-        )
-        self._server.prepare()
-        threading.Thread(target=self._server.serve, daemon=True).start()
-
-    def stop(self):
-        self._server.stop()
-
-    def store_entry(self, state='ready'):
-        return store_entry(self.port, 'lager', state)
-
-    def _serve(self, environ, start_response):
-        self.client_ports.add(environ['REMOTE_PORT'])
-        self.request_count += 1
-        request_id = environ['HTTP_CARDAMOMDEAL_REQUEST_ID']
-        body = environ['wsgi.input'].read(
-            int(environ.get('CONTENT_LENGTH') or 0)
-        )
-        headers = [(wire.REQUEST_ID, request_id), (wire.SERVER_LOAD, '1,0,3')]
-        expected = environ['HTTP_CARDAMOMDEAL_EXPECT_INSTANCE']
-        if expected != self.server_id:
-            headers.append((wire.SERVER_ID, self.server_id))
-            start_response('421 Misdirected Request', headers)
-            return [b'']
-        if self.mode == 'leave':
-            headers.append((wire.SERVER_LEAVING, '1'))
-        if self.mode in ('shed', 'pause'):
-            headers.append((wire.NOT_EXECUTED, '1'))
-            if self.mode == 'pause':
-                headers.append((wire.RETRY_AFTER, str(PAUSE_S)))
-            start_response('503 Service Unavailable', headers)
-            return [b'']
-        self.run_counts[request_id] += 1
-        self.bodies[request_id] = body
-        headers.append((wire.SIGNATURE, f'signed-{self.server_id}'))
-        if self.mode == 'fail':
-            start_response('500 Internal Server Error', headers)
-            return [b'failed']
-        time.sleep(self.latency_s)
-        start_response('200 OK', headers)
-        return [f'answer to {request_id}'.encode()]
-
-
-class EndlessBackend:
-    """Backend server whose answers have no end."""
-
-    HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
-    CHUNK = b'10000\r\n' + bytes(0x10000) + b'\r\n'
-
-    def __init__(self, server_id):
-        self.server_id = server_id
-        self.sent_bytes = 0
-        self._listener = socket.create_server((LOOPBACK, 0), backlog=100)
-        self._port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def stop(self):
-        self._listener.close()
-
-    def store_entry(self, service):
-        return store_entry(self._port, service)
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                opened, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._serve, args=(opened,), daemon=True
-                ).start()
-
-    def _serve(self, opened):
-        with contextlib.suppress(OSError), opened:
-            opened.recv(65_536)
-            opened.sendall(self.HEAD)
-            while True:
-                opened.sendall(self.CHUNK)
-                self.sent_bytes += len(self.CHUNK)
-
-
-def store_entry(port, service, state='ready'):
-    return json.dumps(
-        {
-            'address': f'{LOOPBACK}:{port}',
-            'born': 1,
-            'info': {'service': service, 'zone': 'a', 'slots': 3},
-            'status': {'state': state, 'seq': 1, 'cold_remaining': '0ms'},
-        }
-    ).encode()
-
-
-class EntryHostTest(unittest.TestCase):
-    def setUp(self):
-        self.store_port = fleet.free_port()
-        self.store = store_standin.StoreStandin(LOOPBACK, self.store_port)
-        self.addCleanup(self.store.stop)
-        self.backends = [Backend('i-1'), Backend('i-2')]
-        for backend in self.backends:
-            self.addCleanup(backend.stop)
-            self.store.put(
-                f'servers/{backend.server_id}', backend.store_entry()
-            )
-        self.put_configuration(1, ['safe', 'unsafe'])
-        self.processes = []
-        self.hosts = [self.start_host(name) for name in ('entry-1', 'entry-2')]
-        for host in self.hosts:
-            self.wait_until_ready(host)
-
-    def tearDown(self):
-        for process in self.processes:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
-
-    def put_configuration(
-        self,
-        version,
-        route_names,
-        timeout='2000ms',
-        max_body_bytes=1_000_000,
-    ):
-        routes = [
-            [
-                name,
-                'shop.example',
-                f'/{name}/',
-                name if name in ROUTE_KINDS else 'safe',
-                timeout,
-                2,
-                SERVICES.get(name, 'lager'),
-            ]
-            for name in route_names
-        ]
-        value = {
-            'version': version,
-            'routes': {
-                'columns': [
-                    'name',
-                    'hostname',
-                    'prefix',
-                    'kind',
-                    'timeout',
-                    'attempts',
-                    'service',
-                ],
-                'rows': routes,
-            },
-            'services': {
-                'columns': ['name', 'max_connections'],
-                'rows': [['lager', 390], ['flooded', 390]],
-            },
-            'limits': {
-                'max_header_bytes': 16384,
-                'max_body_bytes': max_body_bytes,
-                'header_timeout': '1000ms',
-                'idle_timeout': '15000ms',
-            },
-        }
-        self.store.put(wire.CONFIGURATION_KEY, json.dumps(value).encode())
-
-    def start_host(self, name, log_output=None, seeds=()):
-        ports = {
-            key: fleet.free_port()
-            for key in ('callers', 'readiness', 'directory', 'metrics')
-        }
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-            probe.bind((LOOPBACK, 0))
-            ports['peers'] = probe.getsockname()[1]
-        settings = {key: f'{LOOPBACK}:{port}' for key, port in ports.items()}
-        settings |= {
-            'host': name,
-            'region': 'r',
-            'data_centre': 'a',
-            'store': f'{LOOPBACK}:{self.store_port}',
-            'seeds': [f'{LOOPBACK}:{seed["peers"]}' for seed in seeds],
-            'bounds': {
-                'drain': '2000ms',
-                'stop_grace': f'{STOP_GRACE_S}s',
-                'max_keep_for': '5s',
-                'repeat_ratio': 0.2,
-                'repeat_window': '10s',
-                'repeat_slack': 60.0,
-                'capacity_floor': 0.7,
-            },
-        }
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        path = pathlib.Path(directory.name) / 'entry.jsonc'
-        path.write_text('// Settings.\n' + json.dumps(settings))
-        log_file = (pathlib.Path(directory.name) / 'log').open('w+')
-        self.addCleanup(log_file.close)
-        process = subprocess.Popen(
-            [sys.executable, '-m', 'cardamomdeal.entry.main', str(path)],
-            stdout=log_file if log_output is None else log_output,
-        )
-        self.processes.append(process)
-        return ports | {
-            'log': log_file.name,
-            'process': process,
-            'settings': path,
-        }
-
-    def wait_until(self, condition, timeout_s=START_TIMEOUT_S):
-        deadline_s = time.monotonic() + timeout_s
-        while time.monotonic() < deadline_s:
-            if condition():
-                return
-            time.sleep(0.05)
-        self.fail('condition not met within the timeout')
-
-    def wait_until_ready(self, host):
-        def ready():
-            try:
-                return (
-                    self.get_status(host['readiness'], wire.READY_PATH) == 200
-                )
-            except urllib3.exceptions.HTTPError:
-                return False
-
-        self.wait_until(ready)
-
-    def get_status(self, port, path):
-        return urllib3.request(
-            'GET', f'http://{LOOPBACK}:{port}{path}', retries=False, timeout=2
-        ).status
-
-    def send(self, host, route, request_id, body=None, deadline_ms=3_000):
-        return urllib3.request(
-            'POST' if body is not None else 'GET',
-            f'http://{LOOPBACK}:{host["callers"]}/{route}/x?y=%2F',
-            headers={
-                'Host': 'shop.example',
-                wire.REQUEST_ID: request_id,
-                wire.DEADLINE_MS: str(deadline_ms),
-            },
-            body=body,
-            retries=False,
-            timeout=5,
-        )
-
-    def run_count(self, request_id):
-        return sum(backend.run_counts[request_id] for backend in self.backends)
-
+class EntryHostTest(entry_case.EntryHostCase):
     def test_response_is_complete_and_matches_the_request(self):
         response = self.send(self.hosts[0], 'safe', 'r1')
         self.assertEqual(200, response.status)
@@ -418,7 +155,7 @@
             backend.mode = 'work'
         response = self.send(self.hosts[0], 'unsafe', 'refused', b'x')
         self.assertEqual(503, response.status)
-        remaining_s = PAUSE_S - (time.monotonic() - started_s)
+        remaining_s = entry_case.PAUSE_S - (time.monotonic() - started_s)
         self.assertAlmostEqual(
             remaining_s, float(response.headers['Retry-After']), delta=0.4
         )
@@ -429,23 +166,6 @@
         response = self.send(self.hosts[0], 'unsafe', 'returned', b'x')
         self.assertEqual(200, response.status)
 
-    def start_callers(self, count, route='safe'):
-        def call(n):
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                self.send(self.hosts[0], route, f'caller-{n}')
-
-        threads = [
-            threading.Thread(target=call, args=(n,)) for n in range(count)
-        ]
-        for thread in threads:
-            thread.start()
-        return threads
-
-    def thread_count(self, host):
-        status = pathlib.Path(f'/proc/{host["process"].pid}/status')
-        count = re.search(r'^Threads:\s*(\d+)', status.read_text(), re.M)
-        return int(count[1])
-
     def test_host_at_rest_has_few_threads(self):
         self.assertLessEqual(self.thread_count(self.hosts[0]), 20)
         for thread in self.start_callers(20):
@@ -501,16 +221,6 @@
             self.write_chunked_order(opened, f'second-{n}')
             self.assertEqual(200, self.read_response(opened).status)
 
-    def write_chunked_order(self, opened, request_id):
-        opened.sendall(
-            (
-                f'POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\n'
-                f'{wire.REQUEST_ID}: {request_id}\r\n'
-                f'Transfer-Encoding: chunked\r\n\r\n'
-                f'5\r\norder\r\n0\r\n\r\n'
-            ).encode()
-        )
-
     def test_large_uploads_do_not_end_a_host_and_its_requests(self):
         # Three of 60 MiB took a host above its memory, since each was held
         # twice and nothing bounded their sum.
@@ -551,7 +261,7 @@
         self.put_configuration(2, ['safe', 'unsafe'], '4000ms')
         time.sleep(1.8)
         peak_mb = self.watch_memory(self.hosts[0])
-        endless = EndlessBackend('i-3')
+        endless = entry_case.EndlessBackend('i-3')
         self.addCleanup(endless.stop)
         self.store.put('servers/i-3', endless.store_entry('flooded'))
         self.put_configuration(3, ['safe', 'unsafe', 'flooded'], '4000ms')
@@ -565,18 +275,6 @@
         self.assertGreater(endless.sent_bytes, 40 * MIB)
         self.assertLess(peak_mb(), MEMORY_MB)
 
-    def watch_memory(self, host):
-        """Return a function that returns the peak resident memory since."""
-        process = host['process']
-        pathlib.Path(f'/proc/{process.pid}/clear_refs').write_text('5')
-        return lambda: self.resident_mb(host, 'VmHWM')
-
-    def resident_mb(self, host, field):
-        process = host['process']
-        self.assertIsNone(process.poll())
-        status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
-        return int(re.search(rf'{field}:\s*(\d+)', status)[1]) / 1000
-
     def test_ready_and_addresses_come_while_all_caller_threads_are_busy(self):
         for backend in self.backends:
             backend.latency_s = 1.5
@@ -679,15 +377,6 @@
         callers = f'{LOOPBACK}:{self.hosts[0]["callers"]}'
         self.assertIn(callers, self.resolved_addresses(self.hosts[0]))
 
-    def resolved_addresses(self, host):
-        response = urllib3.request(
-            'GET',
-            f'http://{LOOPBACK}:{host["directory"]}'
-            f'{wire.RESOLVE_PATH}?name=shop.example&region=r&zone=a',
-            timeout=2,
-        )
-        return response.json()['addresses']
-
     def test_pipelined_requests_run_concurrently_and_answer_in_order(self):
         with socket.create_connection(
             (LOOPBACK, self.hosts[0]['callers']), timeout=5
@@ -704,7 +393,7 @@
             bodies = []
             for _ in range(4):
                 response = http.client.HTTPResponse(connection)
-                response.fp = _UnbufferedReader(connection)
+                response.fp = entry_case.UnbufferedReader(connection)
                 response.begin()
                 bodies.append(response.read())
             elapsed_s = time.monotonic() - started_s
@@ -712,7 +401,7 @@
             [f'answer to p{n}'.encode() for n in range(4)], bodies
         )
         # Requests run one after another take four times the latency.
-        self.assertLess(elapsed_s, 3 * BACKEND_LATENCY_S)
+        self.assertLess(elapsed_s, 3 * entry_case.BACKEND_LATENCY_S)
 
     def test_incomplete_head_does_not_delay_earlier_responses(self):
         with socket.create_connection(
@@ -725,15 +414,15 @@
             started_s = time.monotonic()
             connection.sendall(f'{head}h0\r\n\r\n{head}h1\r\n'.encode())
             response = http.client.HTTPResponse(connection)
-            response.fp = _UnbufferedReader(connection)
+            response.fp = entry_case.UnbufferedReader(connection)
             response.begin()
             self.assertEqual(b'answer to h0', response.read())
             self.assertLess(
-                time.monotonic() - started_s, 4 * BACKEND_LATENCY_S
+                time.monotonic() - started_s, 4 * entry_case.BACKEND_LATENCY_S
             )
             connection.sendall(b'\r\n')
             response = http.client.HTTPResponse(connection)
-            response.fp = _UnbufferedReader(connection)
+            response.fp = entry_case.UnbufferedReader(connection)
             response.begin()
             self.assertEqual(b'answer to h1', response.read())
 
@@ -778,7 +467,7 @@
             time.sleep(1.3)
             connection.sendall(b'b')
             response = http.client.HTTPResponse(connection)
-            response.fp = _UnbufferedReader(connection)
+            response.fp = entry_case.UnbufferedReader(connection)
             response.begin()
             self.assertEqual(200, response.status)
 
@@ -791,7 +480,7 @@
             )
         )
         caller.start()
-        time.sleep(BACKEND_LATENCY_S / 2)
+        time.sleep(entry_case.BACKEND_LATENCY_S / 2)
         host['process'].send_signal(signal.SIGHUP)
         caller.join()
         self.assertEqual([200], statuses)
@@ -808,12 +497,6 @@
         response = self.send(self.hosts[0], 'safe', 'after')
         self.assertEqual(200, response.status)
 
-    def log_text(self):
-        return pathlib.Path(self.hosts[0]['log']).read_text()
-
-    def logged(self, message):
-        return message in self.log_text()
-
     def test_request_ends_when_its_caller_disconnects(self):
         # The stand-in server cannot cancel a request, so the test checks
         # what the entry host counted or logged.
@@ -826,7 +509,7 @@
                 f'{wire.REQUEST_ID}: gone\r\n\r\n'
             ).encode()
         )
-        time.sleep(BACKEND_LATENCY_S / 3)
+        time.sleep(entry_case.BACKEND_LATENCY_S / 3)
         connection.close()
 
         def disconnect_recorded():
@@ -839,11 +522,6 @@
 
         self.wait_until(disconnect_recorded, timeout_s=3)
 
-    def metrics(self):
-        return urllib3.request(
-            'GET', f'http://{LOOPBACK}:{self.hosts[0]["metrics"]}/metrics'
-        ).data.decode()
-
     def test_metrics_count_and_time_requests(self):
         self.send(self.hosts[0], 'safe', 'r1')
         self.wait_until(lambda: 'route="safe"' in self.metrics(), 3)
@@ -881,7 +559,7 @@
                     [sys.executable, '-m', 'cardamomdeal.entry.main', path],
                     capture_output=True,
                     text=True,
-                    timeout=START_TIMEOUT_S,
+                    timeout=entry_case.START_TIMEOUT_S,
                 )
                 self.assertNotEqual(0, ended.returncode)
                 self.assertIn(
@@ -902,7 +580,7 @@
             [sys.executable, '-c', program, self.hosts[0]['settings']],
             capture_output=True,
             text=True,
-            timeout=START_TIMEOUT_S,
+            timeout=entry_case.START_TIMEOUT_S,
         )
         self.assertEqual(1, ended.returncode)
         self.assertIn('OSError: 7', ended.stdout + ended.stderr)
@@ -919,7 +597,7 @@
         callers = [threading.Thread(target=call, args=(n,)) for n in range(6)]
         for caller in callers:
             caller.start()
-        time.sleep(BACKEND_LATENCY_S / 2)
+        time.sleep(entry_case.BACKEND_LATENCY_S / 2)
         stopping_host['process'].send_signal(signal.SIGTERM)
         for caller in callers:
             caller.join()
@@ -971,23 +649,6 @@
         self.assertGreater(results['answered'], 100)
         self.assertEqual({'answered'}, set(results))
 
-    def connect(self, host):
-        return socket.create_connection((LOOPBACK, host['callers']), 5)
-
-    def exchange(self, opened, request_id):
-        """Send a request; return whether it was answered or cut off."""
-        with opened:
-            head = (
-                f'GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n'
-                f'{wire.REQUEST_ID}: {request_id}\r\n\r\n'
-            )
-            try:
-                opened.sendall(head.encode())
-                received = opened.recv(65_536)
-            except OSError as error:
-                return type(error).__name__
-            return 'answered' if received else 'closed'
-
     def test_stopping_host_takes_no_request_that_it_cannot_finish(self):
         # A request taken more than half of the stop time after SIGTERM was
         # cut off; callers still came, as the store could not tell them.
@@ -1066,60 +727,3 @@
         statuses = [self.read_response(opened).status for _ in range(2)]
         self.assertEqual([200, 503], statuses)
         self.assertEqual(0, self.run_count('behind'))
-
-    def write_lookup(self, opened, request_id):
-        opened.sendall(
-            (
-                f'GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n'
-                f'{wire.REQUEST_ID}: {request_id}\r\n'
-                f'{wire.DEADLINE_MS}: 8000\r\n\r\n'
-            ).encode()
-        )
-
-    def write_order(self, opened, request_id):
-        opened.sendall(
-            (
-                f'POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\n'
-                f'{wire.REQUEST_ID}: {request_id}\r\n'
-                f'{wire.DEADLINE_MS}: 8000\r\nContent-Length: 1\r\n\r\nx'
-            ).encode()
-        )
-
-    def read_response(self, opened):
-        """Read one response, and leave the connection for the next one."""
-        response = http.client.HTTPResponse(opened)
-        response.fp = _UnbufferedReader(opened)
-        response.begin()
-        response.data = response.read()
-        return response
-
-
-class _UnbufferedReader:
-    """Unbuffered file object that consecutive responses can share."""
-
-    def __init__(self, connection):
-        self._connection = connection
-
-    def readline(self, limit=65536):
-        line = b''
-        while not line.endswith(b'\n') and len(line) < limit:
-            byte = self._connection.recv(1)
-            if not byte:
-                break
-            line += byte
-        return line
-
-    def read(self, size):
-        data = b''
-        while len(data) < size:
-            received = self._connection.recv(size - len(data))
-            if not received:
-                break
-            data += received
-        return data
-
-    def close(self):
-        """Leave the connection open for the next response."""
-
-    def flush(self):
-        """Do nothing; the file object is read-only."""
