--- a/tests/entry_case.py
+++ b/tests/entry_case.py
@@ -28,7 +28,7 @@
 PAUSE_S = 1.5
 ROUTE_KINDS = ('safe', 'unsafe', 'upload')
 # Services of the routes that do not go to the sound servers.
-SERVICES = {'flooded': 'flooded'}
+SERVICES = {'faulty': 'faulty'}
 
 
 class Backend:
@@ -93,15 +93,11 @@
     return int(work_ms) / 1000 if work_ms else None
 
 
-class EndlessBackend:
-    """Backend server whose answers have no end."""
-
-    HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
-    CHUNK = b'10000\r\n' + bytes(0x10000) + b'\r\n'
+class FaultyBackend:
+    """Backend server whose answers are no whole answers."""
 
     def __init__(self, server_id):
         self.server_id = server_id
-        self.sent_bytes = 0
         self._listener = socket.create_server((LOOPBACK, 0), backlog=100)
         self._port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -109,8 +105,8 @@
     def stop(self):
         self._listener.close()
 
-    def store_entry(self, service):
-        return store_entry(self._port, service)
+    def store_entry(self):
+        return store_entry(self._port, 'faulty')
 
     def _accept(self):
         with contextlib.suppress(OSError):
@@ -122,11 +118,40 @@
 
     def _serve(self, opened):
         with contextlib.suppress(OSError), opened:
-            opened.recv(65_536)
-            opened.sendall(self.HEAD)
-            while True:
-                opened.sendall(self.CHUNK)
-                self.sent_bytes += len(self.CHUNK)
+            self.answer(opened, opened.recv(65_536))
+
+    def answer(self, opened, request):
+        """Answer a request; the connection is closed behind the answer."""
+        raise NotImplementedError
+
+
+class EndlessBackend(FaultyBackend):
+    """Backend server whose answers have no end."""
+
+    def __init__(self, server_id):
+        super().__init__(server_id)
+        # Sent once, and then again and again.
+        self.start, self.repeated = b'', b''
+        self.sent_bytes = 0
+
+    def answer(self, opened, request):
+        opened.sendall(self.start)
+        while True:
+            opened.sendall(self.repeated)
+            self.sent_bytes += len(self.repeated)
+
+
+class BreakingBackend(FaultyBackend):
+    """Backend server that closes after a part of an answer."""
+
+    def __init__(self, server_id):
+        super().__init__(server_id)
+        self.part = b''
+        self.answered_count = 0
+
+    def answer(self, opened, request):
+        opened.sendall(self.part)
+        self.answered_count += 1
 
 
 def store_entry(port, service, state='ready'):
@@ -200,7 +225,7 @@
             },
             'services': {
                 'columns': ['name', 'max_connections'],
-                'rows': [['lager', 390], ['flooded', 390]],
+                'rows': [['lager', 390], ['faulty', 390]],
             },
             'limits': {
                 'max_header_bytes': 16384,
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -44,6 +44,29 @@
         received = [backend.bodies.get('r1') for backend in self.backends]
         self.assertIn(body, received)
 
+    def test_answer_that_breaks_off_in_its_head_is_no_success(self):
+        # Its caller got a 200 with an empty or short body, framed as whole.
+        breaking = entry_case.BreakingBackend('i-3')
+        self.addCleanup(breaking.stop)
+        self.store.put('servers/i-3', breaking.store_entry())
+        self.put_configuration(2, ['faulty'])
+        time.sleep(1.8)
+        framings = {
+            'Content-Length: 4': b'body',
+            'Transfer-Encoding: chunked': b'4\r\nbody\r\n0\r\n\r\n',
+            'Connection: close': b'',
+        }
+        for framing, body in framings.items():
+            answer = (
+                f'HTTP/1.1 200 OK\r\n{wire.SIGNATURE}: s\r\n{framing}\r\n\r\n'
+            ).encode() + body
+            for size in range(len(answer)):
+                breaking.part = answer[:size]
+                response = self.send(self.hosts[0], 'faulty', f'r{size}')
+                with self.subTest(sent=breaking.part):
+                    self.assertIn(response.status, (502, 503, 504))
+        self.assertGreater(breaking.answered_count, 100)
+
     def test_path_without_a_route_gets_404(self):
         self.assertEqual(404, self.send(self.hosts[0], 'no', 'r').status)
 
@@ -258,21 +281,35 @@
     def test_endless_answers_do_not_end_a_host_and_its_requests(self):
         # Forty at once took a host above its memory: each was held up to 16
         # MiB several times, and nothing bounded their sum.
-        self.put_configuration(2, ['safe', 'unsafe'], '4000ms')
-        time.sleep(1.8)
         peak_mb = self.watch_memory(self.hosts[0])
         endless = entry_case.EndlessBackend('i-3')
         self.addCleanup(endless.stop)
-        self.store.put('servers/i-3', endless.store_entry('flooded'))
-        self.put_configuration(3, ['safe', 'unsafe', 'flooded'], '4000ms')
+        self.store.put('servers/i-3', endless.store_entry())
+        self.put_configuration(2, ['safe', 'unsafe', 'faulty'], '4000ms')
         time.sleep(1.8)
-        callers = self.start_callers(40, 'flooded')
-        for n in range(10):
-            response = self.send(self.hosts[0], 'unsafe', f'order-{n}', b'x')
-            self.assertEqual(200, response.status)
-        for thread in callers:
-            thread.join()
-        self.assertGreater(endless.sent_bytes, 40 * MIB)
+        floods = {
+            'chunks': (
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+                b'10000\r\n' + bytes(0x10000) + b'\r\n',
+            ),
+            'header fields': (
+                b'HTTP/1.1 200 OK\r\n',
+                b'Name: ' + b'x' * 0x10000 + b'\r\n',
+            ),
+            'header line': (b'HTTP/1.1 200 OK\r\nName: ', b'x' * 0x10000),
+            'no answer': (b'', b'x' * 0x10000),
+        }
+        for flood, (endless.start, endless.repeated) in floods.items():
+            endless.sent_bytes = 0
+            callers = self.start_callers(40, 'faulty')
+            for n in range(10):
+                response = self.send(
+                    self.hosts[0], 'unsafe', f'{flood}-{n}', b'x'
+                )
+                self.assertEqual(200, response.status)
+            for thread in callers:
+                thread.join()
+            self.assertGreater(endless.sent_bytes, 4 * MIB)
         self.assertLess(peak_mb(), MEMORY_MB)
 
     def test_ready_and_addresses_come_while_all_caller_threads_are_busy(self):
