Reserve the memory of a response apart from that of its request

Cause: one reservation for both bodies. Test: test_answer_to_a_large_upload_finds_room_beside_others, red before.

--- a/src/cardamomdeal/entry/caller.py
+++ b/src/cardamomdeal/entry/caller.py
@@ -15,14 +15,31 @@
 from cardamomdeal.internal import memory_budget
 from cardamomdeal.platform import wire
 
-# The HTTP server stores the caller's socket and the memory reserved for the
-# request in the environ under these keys.
+# The HTTP server stores the caller's socket and the memory of the bodies
+# in the environ under these keys.
 ENVIRON_SOCKET_KEY = 'cardamomdeal.socket'
-ENVIRON_RESERVATION_KEY = 'cardamomdeal.reservation'
+ENVIRON_MEMORY_KEY = 'cardamomdeal.memory'
 ENVIRON_REQUEST_ID_KEY = 'HTTP_' + wire.REQUEST_ID.upper().replace('-', '_')
 CHUNK_BYTES = 64 * 1024
 
 
+class BodyMemory:
+    """Memory that the bodies of a request and of its response take.
+
+    They are reserved apart: a server may have run a large upload, and its
+    short response must find room whatever the upload takes.
+    """
+
+    def __init__(self, budget: memory_budget.MemoryBudget) -> None:
+        self.request = memory_budget.Reservation(budget)
+        self.response = memory_budget.Reservation(budget)
+
+    def release(self) -> None:
+        """Release both reservations."""
+        self.request.reduce_to(0)
+        self.response.reduce_to(0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
     """Request of a caller with its complete body."""
@@ -35,8 +52,7 @@
     deadline_ms: int | None
     headers: dict[str, str]
     body: body_buffer.Body
-    # Holds the memory of the body and of the response's.
-    reservation: memory_budget.Reservation
+    memory: BodyMemory
     connection: socket.socket
 
 
@@ -90,7 +106,7 @@
     OutOfMemoryBudget.
     """
     headers = _parse_headers(environ)
-    reservation = environ[ENVIRON_RESERVATION_KEY]
+    memory: BodyMemory = environ[ENVIRON_MEMORY_KEY]
     target = environ['REQUEST_URI']
     if isinstance(target, bytes):
         target = target.decode('latin-1')
@@ -102,8 +118,8 @@
         path=target.partition('?')[0],
         deadline_ms=_parse_deadline_ms(headers),
         headers=headers,
-        body=_read_body(environ, headers, max_body_bytes, reservation),
-        reservation=reservation,
+        body=_read_body(environ, headers, max_body_bytes, memory.request),
+        memory=memory,
         connection=environ[ENVIRON_SOCKET_KEY],
     )
 
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -168,8 +168,8 @@
         connection.BackendConnection | None,
     ]:
         """Try the assigned server; the response is None if it is not valid."""
-        # Releases the response of the attempt before.
-        self._request.reservation.reduce_to(self._request.body.size_bytes)
+        # The response of the attempt before is not held any more.
+        self._request.memory.response.reduce_to(0)
         if self._disconnect_watcher.caller_disconnected():
             return outcomes.CallerLeft(), None, None
         started_ms = self._time.now_ms()
@@ -225,7 +225,7 @@
         backend_response = server_connection.exchange_buffered(
             backend_request, limit, self._watcher_for_attempt()
         )
-        body = backend_response.buffered_body(self._request.reservation)
+        body = backend_response.buffered_body(self._request.memory.response)
         latency_ms = self._time.now_ms() - started_ms
         result = server_responses.classify(
             backend_response.status, backend_response.headers, latency_ms
--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -12,6 +12,7 @@
 
 from cheroot import server as cheroot_server
 
+from cardamomdeal.entry import caller
 from cardamomdeal.internal import body_buffer
 from cardamomdeal.internal import http_server
 from cardamomdeal.internal import memory_budget
@@ -38,12 +39,12 @@
     def __init__(
         self,
         connection: http_server.Connection,
-        memory: memory_budget.MemoryBudget,
+        budget: memory_budget.MemoryBudget,
     ) -> None:
         self._connection = connection
         self.wfile = body_buffer.BodyBuffer()
         self.finished = threading.Event()
-        self.reservation = memory_budget.Reservation(memory)
+        self.memory = caller.BodyMemory(budget)
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._connection, name)
@@ -69,11 +70,11 @@
         self,
         connection: http_server.Connection,
         workers: futures.Executor,
-        memory: memory_budget.MemoryBudget,
+        budget: memory_budget.MemoryBudget,
     ) -> None:
         self._connection = connection
         self._workers = workers
-        self._memory = memory
+        self._budget = budget
         self._in_flight: collections.deque[_PipelinedRequest] = (
             collections.deque()
         )
@@ -89,7 +90,7 @@
             # stay open until then.
             futures.wait([pipelined.future for pipelined in self._in_flight])
             for pipelined in self._in_flight:
-                pipelined.buffer.reservation.reduce_to(0)
+                pipelined.buffer.memory.release()
             os.close(self._wake_read_fd)
             os.close(self._wake_write_fd)
 
@@ -140,7 +141,7 @@
         return _UnreadData.PARTIAL_HEAD if data else _UnreadData.NOTHING
 
     def _read_request(self) -> None:
-        buffer = _BufferedConnection(self._connection, self._memory)
+        buffer = _BufferedConnection(self._connection, self._budget)
         request = self._connection.RequestHandlerClass(
             self._connection.server, buffer
         )
@@ -213,7 +214,7 @@
             pipelined.future.result()
             for part in pipelined.buffer.wfile.body().parts:
                 self._connection.socket.sendall(part)
-            pipelined.buffer.reservation.reduce_to(0)
+            pipelined.buffer.memory.release()
             self._in_flight.popleft()
             if pipelined.request.close_connection:
                 return False
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -88,9 +88,7 @@
         """Serve one request."""
         response = self._serve(environ)
         # The request body is not held any more.
-        environ[caller.ENVIRON_RESERVATION_KEY].reduce_to(
-            response.body.size_bytes
-        )
+        environ[caller.ENVIRON_MEMORY_KEY].request.reduce_to(0)
         start_response(response.status_line, list(response.headers))
         return response.body.parts
 
@@ -134,7 +132,7 @@
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ[caller.ENVIRON_SOCKET_KEY] = self.req.conn.socket
-        environ[caller.ENVIRON_RESERVATION_KEY] = self.req.conn.reservation
+        environ[caller.ENVIRON_MEMORY_KEY] = self.req.conn.memory
         return environ
 
 
@@ -145,7 +143,7 @@
         """Serve the requests received; return whether to stay open."""
         try:
             return pipeline.Pipeline(
-                self, self.server.workers, self.server.memory
+                self, self.server.workers, self.server.budget
             ).run()
         except OSError as error:
             log.info('caller connection lost', extra={'reason': str(error)})
@@ -211,7 +209,7 @@
         shutdown_timeout=settings.bounds.stop_grace_ms / 1000,
     )
     server.gateway = _SocketGateway
-    server.memory = memory_budget.MemoryBudget(
+    server.budget = memory_budget.MemoryBudget(
         round(settings.memory_mb * 1_000_000 * BODIES_MEMORY_SHARE)
     )
     server.keep_alive_disabled = application.keep_alive_disabled
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -278,6 +278,38 @@
         self.assertEqual(200, response.status)
         self.assertLess(self.resident_mb(self.hosts[0], 'VmRSS'), AT_REST_MB)
 
+    def test_answer_to_a_large_upload_finds_room_beside_others(self):
+        # The upload's own size counted against its short answer, so it failed
+        # once others had arrived, although the server had run it.
+        self.put_configuration(2, ['upload'], '8000ms', 64 * MIB)
+        time.sleep(1.8)
+        for backend in self.backends:
+            backend.latency_s = 2.0
+        statuses = {}
+
+        def upload(name, size_bytes):
+            response = self.send(
+                self.hosts[0], 'upload', str(name), bytes(size_bytes), 8_000
+            )
+            statuses[name] = response.status
+
+        uploads = []
+        for n, size_mib in enumerate((60, 40, 16, 12, 8, 4)):
+            uploads.append(
+                threading.Thread(target=upload, args=(n, size_mib * MIB))
+            )
+        for thread in uploads:
+            thread.start()
+            # The next one arrives while the server runs this one.
+            time.sleep(0.25)
+        for thread in uploads:
+            thread.join()
+        ran = [n for n in statuses if self.run_count(str(n))]
+        self.assertEqual(
+            {n: 200 if n in ran else 503 for n in statuses}, statuses
+        )
+        self.assertEqual(200, statuses[0])
+
     def test_endless_answers_do_not_end_a_host_and_its_requests(self):
         # Forty at once took a host above its memory: each was held up to 16
         # MiB several times, and nothing bounded their sum.
