Split the dispatcher, and state the interfaces of workspaces and waiting

Cause: entry/dispatcher.py (662 lines) held the state of the servers beside the decisions on requests, and no message could let a request wait. Change: ServerTracker has views, detectors, loads and idle connections; the dispatcher keeps admission, retries and ends. A decision may be delivered later (messages.Waiting, internal.deferred): the caller's thread polls a pipe and the caller's socket. The data classes of workspaces, and the settings fail_closed, revoke and quota_*, which nothing reads yet, are the interfaces of the parts that follow.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -10,20 +10,17 @@
 
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import idle_connections
-from cardamomdeal.balancing import connection_reuse
-from cardamomdeal.balancing import failure_detector
 from cardamomdeal.balancing import outcomes
-from cardamomdeal.balancing import probing
-from cardamomdeal.balancing import refusal_detector
 from cardamomdeal.balancing import retry_budget
 from cardamomdeal.balancing import server_selection
 from cardamomdeal.balancing import server_views
-from cardamomdeal.balancing import service_load
 from cardamomdeal.entry import messages
+from cardamomdeal.entry import server_tracker
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import routes
 from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
+from cardamomdeal.internal import deferred
 from cardamomdeal.internal import scheduler
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.telemetry import histograms
@@ -31,8 +28,6 @@
 TICK_INTERVAL_MS = 1_000
 # A host that has just started gets its configuration within this time.
 NO_CONFIGURATION_RETRY_AFTER_MS = 300
-# The servers of a service change within about this time.
-NO_SERVER_RETRY_AFTER_MS = 500
 # The other hosts take requests at once.
 STOPPING_RETRY_AFTER_MS = 0
 # A server cannot complete a request in less time.
@@ -47,22 +42,28 @@
 
 @dataclasses.dataclass(slots=True)
 class _Request:
-    """State of an admitted request until it ends."""
+    """State of a request from its admission until it ends."""
 
-    request_id: str
+    admission_id: int
+    admit: messages.Admit
     route: model.Route
     service: str
     deadline_at_ms: int
-    view: server_views.ServerView
-    tried_servers: set[model.Incarnation]
+    # None until a server is assigned.
+    attempt: server_tracker.Attempt | None = None
+    tried_servers: set[model.Incarnation] = dataclasses.field(
+        default_factory=set
+    )
     sent_attempts: int = 1
     unsent_attempts: int = 0
-    # Idle time of the connection that the attempt reuses, None for a new one.
-    reused_idle_ms: int | None = None
+    # Delivers the decision if the request has to wait for it.
+    reply: deferred.Deferred[messages.Assigned | messages.Rejected] | None = (
+        None
+    )
 
 
 class Dispatcher(actor.Actor):
-    """Actor that owns server state, idle connections and open requests."""
+    """Actor that decides which server runs a request, and when."""
 
     def __init__(
         self,
@@ -78,10 +79,7 @@
         self._time = time
         self._rng = random.Random()
         self._routes: routes.RouteTable | None = None
-        self._views = server_views.ServerViews()
-        self._host_count = 1
-        self._failure_detector = failure_detector.FailureDetector()
-        self._refusal_detector = refusal_detector.RefusalDetector()
+        self._servers = server_tracker.ServerTracker(synchronizer, time)
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = (
             collections.defaultdict(
                 lambda: retry_budget.RetryBudget(
@@ -89,13 +87,6 @@
                 )
             )
         )
-        self._service_loads: dict[str, service_load.ServiceLoad] = (
-            collections.defaultdict(service_load.ServiceLoad)
-        )
-        self._idle_connections: idle_connections.IdleConnections[
-            model.Incarnation
-        ] = idle_connections.IdleConnections()
-        self._reuse_limit = connection_reuse.ReuseLimit()
         self._requests: dict[int, _Request] = {}
         self._is_stopping = False
         self._next_admission_id = 1
@@ -108,7 +99,7 @@
 
     def on_stop(self) -> None:
         """Close every idle connection."""
-        self._idle_connections.close_all()
+        self._servers.close()
 
     def receive(self, message: Any) -> Any:
         """Handle one message."""
@@ -119,6 +110,8 @@
                 return self._retry(admission_id, result)
             case messages.Finished(admission_id, result, server_connection):
                 self._finish(admission_id, result, server_connection)
+            case messages.Withdraw(admission_id):
+                self._withdraw(admission_id)
             case messages.StopAdmitting():
                 self._is_stopping = True
                 log.info(
@@ -128,39 +121,22 @@
             case messages.RoutesUpdated(table):
                 self._routes = table
             case messages.ServersUpdated(servers, host_count):
-                self._update_servers(servers, host_count)
+                self._servers.update_servers(servers, host_count)
             case messages.PeerReports(reports):
                 for report in reports:
-                    self._record_peer_report(report)
+                    self._servers.record_peer_report(report)
             case messages.SettingsUpdated(settings):
                 self._settings = settings
                 for budget in self._retry_budgets.values():
                     budget.set_bounds(settings.bounds)
             case messages.Tick():
-                self._idle_connections.close_expired(self._time.now_ms())
+                self._servers.close_expired_connections()
             case messages.GetMetrics():
                 return messages.Metrics(
                     dict(self._counters), self._histograms.encode()
                 )
         return None
 
-    def _record_peer_report(self, report: messages.PeerReport) -> None:
-        match report:
-            case messages.PeerReportedFailure():
-                self._record_peer_failure(report)
-            case messages.PeerReportedRefusal(incarnation):
-                self._refusal_detector.record_refusal(
-                    incarnation, self._time.now_ms()
-                )
-            case messages.PeerReportedLoad(incarnation, load):
-                view = self._views.find(incarnation)
-                if view is not None:
-                    view.record_load(load, self._time.now_ms())
-            case messages.PeerReportedLeaving(incarnation, host):
-                self._mark_leaving(incarnation, seen_by=host)
-            case messages.PeerReportedRecovery(incarnation, host):
-                self._record_peer_recovery(incarnation, host)
-
     def _admit(self, admit: messages.Admit) -> messages.Decision:
         if self._is_stopping:
             # The process would exit before the server has answered.
@@ -182,49 +158,69 @@
         if deadline_at_ms - now_ms < MIN_REMAINING_MS:
             return self._reject(admit, 503, 'no time is left', 0)
         service = routes.choose_service(route, self._rng)
-        self._retry_budgets[service].record_request(now_ms, self._host_count)
-        self._service_loads[service].record_request(now_ms)
-        view = self._select_server(
-            admit.request_id, route, service, set(), now_ms
+        self._retry_budgets[service].record_request(
+            now_ms, self._servers.host_count
         )
-        if view is None:
-            return self._reject(
-                admit,
-                503,
-                f'{service} has no server that takes requests',
-                self._retry_after_ms(service, now_ms),
-            )
-        admission_id = self._next_admission_id
-        self._next_admission_id += 1
+        self._servers.record_request(service)
         request = _Request(
-            admit.request_id,
-            route,
-            service,
-            deadline_at_ms,
-            view,
-            {view.server.incarnation},
+            self._next_admission_id, admit, route, service, deadline_at_ms
         )
-        self._requests[admission_id] = request
-        return self._assign(admission_id, request)
+        self._next_admission_id += 1
+        self._requests[request.admission_id] = request
+        return self._place(request)
 
-    def _has_accepting_server(self, service: str) -> bool:
+    def _place(self, request: _Request) -> messages.Decision:
+        """Assign a server to a request that may run now, or reject it."""
         now_ms = self._time.now_ms()
-        return any(
-            view.paused_until_ms <= now_ms
-            for view in self._views.of_service(service)
-        )
+        view = self._select_server(request, now_ms)
+        if view is None:
+            return self._end_unassigned(
+                request,
+                503,
+                f'{request.service} has no server that takes requests',
+                self._servers.retry_after_ms(request.service, now_ms),
+            )
+        return self._assign(request, view)
 
-    def _retry_after_ms(self, service: str, now_ms: int) -> int:
-        """Return when the first server of a service takes requests again."""
-        return min(
-            (
-                view.paused_until_ms - now_ms
-                for view in self._views.of_service(service)
-                if view.paused_until_ms > now_ms
-            ),
-            default=NO_SERVER_RETRY_AFTER_MS,
+    def _end_unassigned(
+        self,
+        request: _Request,
+        status: int,
+        reason: str,
+        retry_after_ms: int | None = None,
+    ) -> messages.Rejected:
+        """Reject a request that was admitted but not sent to any server."""
+        del self._requests[request.admission_id]
+        return self._reject(request.admit, status, reason, retry_after_ms)
+
+    def _defer(self, request: _Request) -> messages.Waiting:
+        """Let the caller's thread wait until `_resume` decides."""
+        request.reply = deferred.Deferred()
+        return messages.Waiting(
+            request.admission_id, request.reply, request.deadline_at_ms
         )
 
+    def _resume(
+        self,
+        request: _Request,
+        decision: messages.Assigned | messages.Rejected,
+    ) -> None:
+        """Deliver the decision on a request that was deferred."""
+        reply, request.reply = request.reply, None
+        if reply is not None and not reply.set(decision):
+            # The caller's thread has withdrawn meanwhile.
+            self._withdraw(request.admission_id)
+            match decision:
+                case messages.Assigned(connection=unused) if unused:
+                    unused.close()
+
+    def _withdraw(self, admission_id: int) -> None:
+        """End a request whose caller has left or whose wait was too long."""
+        request = self._requests.pop(admission_id, None)
+        if request is not None and request.attempt is not None:
+            # A server was assigned while the message was on its way.
+            self._servers.record_result(request.attempt, outcomes.CallerLeft())
+
     def _reject(
         self,
         admit: messages.Admit,
@@ -245,25 +241,23 @@
         return messages.Rejected(status, reason, retry_after_ms)
 
     def _select_server(
-        self,
-        request_id: str,
-        route: model.Route,
-        service: str,
-        tried_servers: set[model.Incarnation],
-        now_ms: int,
+        self, request: _Request, now_ms: int
     ) -> server_views.ServerView | None:
-        max_idle_ms = self._max_idle_ms(route, now_ms)
+        service = request.service
+        max_idle_ms = self._max_idle_ms(request.route, now_ms)
         candidates = [
-            self._build_candidate(view, max_idle_ms, now_ms)
-            for view in self._views.of_service(service)
-            if view.server.incarnation not in tried_servers
+            self._servers.candidate(view, max_idle_ms, now_ms)
+            for view in self._servers.views_of(service)
+            if view.server.incarnation not in request.tried_servers
         ]
         selection = server_selection.select(
             candidates,
             server_selection.SelectionContext(
                 self._settings.place.data_centre,
-                self._service_health(service, now_ms),
-                _is_retryable(route) and not tried_servers,
+                self._servers.service_health(
+                    service, self._settings.bounds.capacity_floor, now_ms
+                ),
+                _is_retryable(request.route) and not request.tried_servers,
                 now_ms,
             ),
             self._rng,
@@ -274,7 +268,7 @@
         log.info(
             'server selected',
             extra={
-                'request_id': request_id,
+                'request_id': request.admit.request_id,
                 'service': service,
                 'server': selected.server.server_id,
                 'in_flight': selected.in_flight,
@@ -283,23 +277,10 @@
                 'eligible_servers': selection.trusted_count,
                 'servers': selection.usable_count,
                 'second_chance': selection.is_probe,
-                'hosts': self._host_count,
+                'hosts': self._servers.host_count,
             },
         )
-        return self._views.find(selected.server.incarnation)
-
-    def _service_health(
-        self, service: str, now_ms: int
-    ) -> probing.ServiceHealth:
-        load = self._service_loads[service]
-        rate_per_s = load.rate_per_s(self._host_count, now_ms)
-        return probing.ServiceHealth(
-            rate_per_s,
-            load.failure_share(rate_per_s),
-            load.concurrency(rate_per_s),
-            self._settings.bounds.capacity_floor,
-            load.running(rate_per_s),
-        )
+        return self._servers.find(selected.server.incarnation)
 
     def _max_idle_ms(self, route: model.Route, now_ms: int) -> int:
         match route.kind:
@@ -308,49 +289,25 @@
             case model.NonIdempotent() | model.Upload():
                 # An idle connection may have been dropped silently, and
                 # the request could not be retried.
-                return self._reuse_limit.limit_ms(now_ms)
-
-    def _build_candidate(
-        self,
-        view: server_views.ServerView,
-        max_idle_ms: int,
-        now_ms: int,
-    ) -> server_selection.Candidate:
-        incarnation = view.server.incarnation
-        return server_selection.Candidate(
-            server=view.server,
-            in_flight=view.in_flight,
-            load=view.load,
-            load_at_ms=view.load_at_ms,
-            sent_since_load=view.sent_since_load,
-            suspicion=self._failure_detector.suspicion(incarnation),
-            shedding_probability=self._refusal_detector.probability(
-                incarnation, now_ms
-            ),
-            unavailable_until_ms=view.unavailable_until_ms,
-            paused_until_ms=view.paused_until_ms,
-            has_idle_connection=self._idle_connections.has(
-                incarnation, now_ms, max_idle_ms
-            ),
-            slow_start_until_ms=view.updated_at_ms + view.server.slow_start_ms,
-        )
+                return self._servers.reuse_limit_ms(now_ms)
 
     def _assign(
-        self, admission_id: int, request: _Request
+        self, request: _Request, view: server_views.ServerView
     ) -> messages.Assigned:
-        view = request.view
-        view.record_sent()
-        now_ms = self._time.now_ms()
-        reused = self._idle_connections.take(
-            view.server.incarnation,
-            now_ms,
-            self._max_idle_ms(request.route, now_ms),
+        """Send the next attempt of a request to a server."""
+        request.tried_servers.add(view.server.incarnation)
+        max_idle_ms = self._max_idle_ms(request.route, self._time.now_ms())
+        reused = self._servers.start_attempt(view, max_idle_ms)
+        request.attempt = server_tracker.Attempt(
+            request.admit.request_id,
+            request.service,
+            view,
+            reused.idle_ms if reused else None,
         )
-        request.reused_idle_ms = reused.idle_ms if reused else None
         self._counters['attempts'] += 1
         self._counters['connections_reused'] += reused is not None
         return messages.Assigned(
-            admission_id,
+            request.admission_id,
             request.route,
             view.server,
             reused.connection if reused else None,
@@ -365,28 +322,20 @@
         self._record_result(request, result)
         reason = self._no_retry_reason(request, result)
         if reason is None:
-            view = self._select_server(
-                request.request_id,
-                request.route,
-                request.service,
-                request.tried_servers,
-                self._time.now_ms(),
-            )
+            view = self._select_server(request, self._time.now_ms())
             if view is not None:
-                request.view = view
-                request.tried_servers.add(view.server.incarnation)
                 self._counters['repeats'] += 1
-                return self._assign(admission_id, request)
+                return self._assign(request, view)
             reason = 'no other server available'
         retry_after_ms = server_views.QUEUE_FULL_BACKOFF_MS
-        if not self._has_accepting_server(request.service):
-            retry_after_ms = self._retry_after_ms(
+        if not self._servers.has_accepting_server(request.service):
+            retry_after_ms = self._servers.retry_after_ms(
                 request.service, self._time.now_ms()
             )
         log.info(
             'request not retried',
             extra={
-                'request_id': request.request_id,
+                'request_id': request.admit.request_id,
                 'attempts': request.sent_attempts,
                 'reason': reason,
             },
@@ -415,7 +364,7 @@
         if request.sent_attempts >= request.route.max_attempts:
             return 'no attempts left'
         if not self._retry_budgets[request.service].try_spend(
-            now_ms, self._host_count
+            now_ms, self._servers.host_count
         ):
             return 'retry budget exhausted'
         request.sent_attempts += 1
@@ -434,201 +383,24 @@
                 server_connection.close()
             return
         self._record_result(request, result)
-        incarnation = request.view.server.incarnation
-        if server_connection is None:
-            return
-        if incarnation in self._views.incarnations():
-            self._idle_connections.put(
-                incarnation, server_connection, self._time.now_ms()
+        if server_connection is not None and request.attempt is not None:
+            self._servers.keep_connection(
+                request.attempt.view.server.incarnation, server_connection
             )
-        else:
-            server_connection.close()
 
     def _record_result(
         self, request: _Request, result: outcomes.AttemptResult
     ) -> None:
-        """Record the result of an attempt and update its server's state."""
-        now_ms = self._time.now_ms()
-        view = request.view
-        view.record_result(result, now_ms)
+        """Record the result of the last attempt of a request."""
+        if request.attempt is None:
+            return
         self._counters[f'results.{type(result).__name__}'] += 1
-        self._record_connection_loss(request, result, now_ms)
         match result:
-            case outcomes.Answered(_, latency_ms, load, is_leaving):
+            case outcomes.Answered(_, latency_ms):
                 self._histograms.record(
                     request.service, request.route.name, latency_ms
                 )
-                self._service_loads[request.service].record_latency(
-                    latency_ms, now_ms
-                )
-                self._record_load(view, load, now_ms)
-            case outcomes.NotExecuted(_, load, is_leaving):
-                self._record_load(view, load, now_ms)
-            case _:
-                is_leaving = False
-        incarnation = view.server.incarnation
-        if refusal_detector.is_unexplained(result):
-            self._refusal_detector.record_refusal(incarnation, now_ms)
-            self._synchronizer.tell(messages.RefusalObserved(incarnation))
-        if is_leaving and self._mark_leaving(
-            incarnation, request_id=request.request_id
-        ):
-            self._synchronizer.tell(messages.LeavingObserved(incarnation))
-        symptom = outcomes.symptom_of(result)
-        if symptom is not None:
-            load = self._service_loads[request.service]
-            if outcomes.may_have_run(result):
-                load.record_failure(now_ms)
-            suspicion = self._failure_detector.record_failure(
-                incarnation,
-                symptom,
-                now_ms,
-                self._prior_odds(request.service, now_ms),
-            )
-            self._synchronizer.tell(
-                messages.FailureObserved(
-                    incarnation,
-                    _failure_reason(result),
-                    symptom,
-                    load.recent_requests(now_ms),
-                )
-            )
-            log.info(
-                'server suspected',
-                extra={
-                    'request_id': request.request_id,
-                    'server': incarnation[0],
-                    'reason': _failure_reason(result),
-                    'failures': suspicion.failures,
-                    'odds': round(suspicion.odds, 2),
-                },
-            )
-        elif isinstance(result, outcomes.Answered):
-            self._refusal_detector.record_success(incarnation, now_ms)
-            self._record_success(request, now_ms - result.latency_ms)
-
-    def _mark_leaving(
-        self, incarnation: model.Incarnation, **source: str
-    ) -> bool:
-        """Stop sending to a server that is leaving; return if this is new."""
-        is_new = self._views.mark_leaving(incarnation, self._time.now_ms())
-        if is_new:
-            self._idle_connections.close_connections(incarnation)
-            log.info(
-                'server is leaving',
-                extra={'server': incarnation[0], **source},
-            )
-        return is_new
-
-    def _record_connection_loss(
-        self, request: _Request, result: outcomes.AttemptResult, now_ms: int
-    ) -> None:
-        match (request.reused_idle_ms, result):
-            case (int(idle_ms), outcomes.Broken() | outcomes.TimedOut()):
-                self._reuse_limit.record_loss(idle_ms, now_ms)
-                log.info(
-                    'reused connection lost',
-                    extra={
-                        'request_id': request.request_id,
-                        'server': request.view.server.server_id,
-                        'idle_ms': idle_ms,
-                        'reuse_limit_ms': self._reuse_limit.limit_ms(now_ms),
-                    },
-                )
-
-    def _record_load(
-        self,
-        view: server_views.ServerView,
-        load: outcomes.Load | None,
-        now_ms: int,
-    ) -> None:
-        if load is not None:
-            view.record_load(load, now_ms)
-            self._synchronizer.tell(
-                messages.LoadObserved(view.server.incarnation, load)
-            )
-
-    def _record_success(self, request: _Request, started_ms: int) -> None:
-        incarnation = request.view.server.incarnation
-        if self._failure_detector.record_success(
-            incarnation, started_ms, self._time.now_ms()
-        ):
-            self._synchronizer.tell(messages.RecoveryObserved(incarnation))
-            log.info(
-                'server suspicion lowered',
-                extra={
-                    'request_id': request.request_id,
-                    'server': incarnation[0],
-                },
-            )
-
-    def _record_peer_recovery(
-        self, incarnation: model.Incarnation, host: str
-    ) -> None:
-        now_ms = self._time.now_ms()
-        if self._failure_detector.record_success(incarnation, now_ms, now_ms):
-            log.info(
-                'server suspicion lowered',
-                extra={'server': incarnation[0], 'seen_by': host},
-            )
-
-    def _record_peer_failure(
-        self, report: messages.PeerReportedFailure
-    ) -> None:
-        incarnation = report.incarnation
-        view = self._views.find(incarnation)
-        if view is None:
-            return
-        now_ms = self._time.now_ms()
-        service = view.server.service
-        if report.symptom is not outcomes.Symptom.REPLACED:
-            # With REPLACED, the request did not fail but was sent to another
-            # server.
-            self._service_loads[service].record_peer_failure(
-                report.recent_requests, now_ms
-            )
-        was_suspected = self._failure_detector.is_suspected(
-            incarnation, now_ms
-        )
-        suspicion = self._failure_detector.record_failure(
-            incarnation,
-            report.symptom,
-            now_ms,
-            self._prior_odds(service, now_ms),
-        )
-        if was_suspected:
-            # The host that saw it has logged it; a line at each of hundreds
-            # of hosts would tell nothing more.
-            return
-        log.info(
-            'server suspected',
-            extra={
-                'server': incarnation[0],
-                'seen_by': report.host,
-                'reason': report.reason,
-                'failures': suspicion.failures,
-                'odds': round(suspicion.odds, 2),
-            },
-        )
-
-    def _prior_odds(self, service: str, now_ms: int) -> float:
-        rate_per_s = self._service_loads[service].rate_per_s(
-            self._host_count, now_ms
-        )
-        servers = len(self._views.of_service(service))
-        return failure_detector.prior_odds(rate_per_s / max(1, servers))
-
-    def _update_servers(
-        self, servers: tuple[model.BackendServer, ...], host_count: int
-    ) -> None:
-        self._host_count = host_count
-        if not self._views.replace(servers, self._time.now_ms()):
-            return
-        for incarnation in self._idle_connections.servers():
-            if incarnation not in self._views.incarnations():
-                self._idle_connections.close_connections(incarnation)
-        self._failure_detector.retain(self._views.incarnations())
-        self._refusal_detector.retain(self._views.incarnations())
+        self._servers.record_result(request.attempt, result)
 
 
 def _deadline_at_ms(route: model.Route, admit: messages.Admit) -> int:
@@ -646,17 +418,3 @@
             return route.max_attempts > 1
         case model.NonIdempotent() | model.Upload():
             return False
-
-
-def _failure_reason(result: outcomes.AttemptResult) -> str:
-    match result:
-        case outcomes.Answered(status):
-            return f'status {status}'
-        case outcomes.AnotherServer(found):
-            return f'{found or "another server"} is at its address'
-        case outcomes.Broken(_, reason):
-            return reason
-        case outcomes.TimedOut(latency_ms):
-            return f'no answer after {latency_ms} ms'
-        case _:
-            return type(result).__name__
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -58,6 +58,8 @@
             return caller.error_response(
                 503, 'overloaded', request.request_id, OVERLOAD_RETRY_AFTER_MS
             )
+        if isinstance(decision, messages.Waiting):
+            decision = self._wait(decision, request)
         match decision:
             case messages.Rejected(status, reason, retry_after_ms):
                 return caller.error_response(
@@ -78,6 +80,19 @@
                     OVERLOAD_RETRY_AFTER_MS,
                 )
 
+    def _wait(
+        self, waiting: messages.Waiting, request: caller.CallerRequest
+    ) -> messages.Assigned | messages.Rejected:
+        """Wait for a decision until the deadline or the caller leaves."""
+        remaining_ms = waiting.deadline_at_ms - self._time.now_ms()
+        decision = waiting.decision.wait(
+            remaining_ms, caller.CallerDisconnectWatcher(request.connection)
+        )
+        if decision is None:
+            self._dispatcher.tell(messages.Withdraw(waiting.admission_id))
+            return messages.Rejected(503, 'no room in time', 0)
+        return decision
+
 
 class _ForwardedRequest:
     """One admitted request and its attempts."""
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -11,9 +11,11 @@
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import routes
 from cardamomdeal.internal import address
+from cardamomdeal.internal import deferred
 from cardamomdeal.platform import store
 from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
+from cardamomdeal.workspaces import model as workspace_model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +28,7 @@
     # Time limit set by the caller, counted from `arrived_at_ms`.
     deadline_ms: int | None
     arrived_at_ms: int
+    credentials: workspace_model.Credentials = workspace_model.NoKey()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +52,22 @@
     retry_after_ms: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request that waits; its decision is delivered later."""
+
+    admission_id: int
+    decision: 'deferred.Deferred[Assigned | Rejected]'
+    deadline_at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """End of a request that was waiting and is not to be sent."""
+
+    admission_id: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Retry:
     """Failed attempt, with a request for another backend server."""
@@ -338,5 +357,5 @@
     histograms: tuple[protocol.LatencyHistogram, ...]
 
 
-Decision = Assigned | Rejected
+Decision = Assigned | Rejected | Waiting
 RetryDecision = Assigned | NoRetry
--- a/src/cardamomdeal/fleet/model.py
+++ b/src/cardamomdeal/fleet/model.py
@@ -4,6 +4,7 @@
 import enum
 
 from cardamomdeal.internal import address
+from cardamomdeal.workspaces import model as workspace_model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +49,8 @@
     # Requests are split between several services by weight; most routes have
     # one.
     targets: tuple[WeightedService, ...]
+    # Whether requests need no key where the configuration has workspaces.
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +79,8 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
+    # None if requests need no key.
+    workspaces: tuple[workspace_model.Workspace, ...] | None = None
 
 
 # Server ID and start time (`born_ms`): unique for each start of a server.
--- a/src/cardamomdeal/settings/load.py
+++ b/src/cardamomdeal/settings/load.py
@@ -80,6 +80,11 @@
         repeat_window_ms=validated.repeat_window,
         repeat_slack=validated.repeat_slack,
         capacity_floor=validated.capacity_floor,
+        fail_closed=validated.fail_closed,
+        revoke_ms=validated.revoke,
+        quota_window_ms=validated.quota_window,
+        quota_overage=validated.quota_overage,
+        quota_slack=validated.quota_slack,
     )
 
 
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -106,6 +106,15 @@
     repeat_slack: float
     # Share of a service's healthy servers that must stay in use.
     capacity_floor: float
+    # Whether a request with a key may run only while it is proved that the
+    # key was valid within `revoke_ms`.
+    fail_closed: bool = False
+    revoke_ms: int | None = None
+    # Quotas hold over this sliding window, with a share and a number of
+    # requests allowed on top.
+    quota_window_ms: int | None = None
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -104,6 +104,17 @@
     repeat_window: units.DurationMs
     repeat_slack: Annotated[float, pydantic.Field(ge=0)]
     capacity_floor: Annotated[float, pydantic.Field(ge=0, le=1)]
+    fail_closed: bool = False
+    revoke: units.DurationMs | None = None
+    quota_window: units.DurationMs | None = None
+    quota_overage: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    quota_slack: Annotated[float, pydantic.Field(ge=0)] = 0.0
+
+    @pydantic.model_validator(mode='after')
+    def _check_revoke(self) -> 'BoundsModel':
+        if self.fail_closed and self.revoke is None:
+            raise ValueError('fail_closed needs revoke, a duration')
+        return self
 
 
 class EntryModel(pydantic.BaseModel):
--- /dev/null
+++ b/src/cardamomdeal/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: their keys, proof that keys are valid, and quotas."""
