Authenticate requests at their admission, by an index of key digests

Callers saw: nothing yet; no configuration has workspaces until it is decoded. Change: the route table has an index of key digests, None where requests need no key. The dispatcher takes the authentication apart before a request is counted or placed: _Request.workspace is whose request it is, and _Request.priority is the workspace's priority, else the route's.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -24,6 +24,8 @@
 from cardamomdeal.internal import scheduler
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.telemetry import histograms
+from cardamomdeal.workspaces import authentication
+from cardamomdeal.workspaces import model as workspace_model
 
 TICK_INTERVAL_MS = 1_000
 # A host that has just started gets its configuration within this time.
@@ -49,6 +51,8 @@
     route: model.Route
     service: str
     deadline_at_ms: int
+    # None if the request needs no key.
+    workspace: workspace_model.Workspace | None
     # None until a server is assigned.
     attempt: server_tracker.Attempt | None = None
     tried_servers: set[model.Incarnation] = dataclasses.field(
@@ -61,6 +65,13 @@
         None
     )
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of the workspace, else that of the route."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
 
 class Dispatcher(actor.Actor):
     """Actor that decides which server runs a request, and when."""
@@ -153,6 +164,17 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
+        match authentication.authenticate(
+            self._routes.key_index, route.is_public, admit.credentials
+        ):
+            case workspace_model.Unrestricted():
+                workspace = None
+            case workspace_model.Authenticated(workspace):
+                pass
+            case workspace_model.Unauthenticated(reason):
+                return self._reject(admit, 401, reason)
+            case workspace_model.Unproven(reason, retry_after_ms):
+                return self._reject(admit, 503, reason, retry_after_ms)
         now_ms = self._time.now_ms()
         deadline_at_ms = _deadline_at_ms(route, admit)
         if deadline_at_ms - now_ms < MIN_REMAINING_MS:
@@ -163,7 +185,12 @@
         )
         self._servers.record_request(service)
         request = _Request(
-            self._next_admission_id, admit, route, service, deadline_at_ms
+            self._next_admission_id,
+            admit,
+            route,
+            service,
+            deadline_at_ms,
+            workspace,
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
--- a/src/cardamomdeal/fleet/routes.py
+++ b/src/cardamomdeal/fleet/routes.py
@@ -4,6 +4,7 @@
 import random
 
 from cardamomdeal.fleet import model
+from cardamomdeal.workspaces import keys
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,6 +14,8 @@
     version: int
     limits: model.Limits
     _by_hostname: dict[str, dict[str, model.Route]]
+    # None if requests need no key.
+    key_index: keys.KeyIndex | None = None
 
     def find(self, hostname: str, path: str) -> model.Route | None:
         """Return the route with the longest matching prefix, if any."""
@@ -38,7 +41,14 @@
         by_hostname.setdefault(route.hostname.lower(), {})[route.prefix] = (
             route
         )
-    return RouteTable(configuration.version, configuration.limits, by_hostname)
+    return RouteTable(
+        configuration.version,
+        configuration.limits,
+        by_hostname,
+        None
+        if configuration.workspaces is None
+        else keys.build(configuration.workspaces),
+    )
 
 
 def choose_service(route: model.Route, rng: random.Random) -> str:
