Run requests with a key only while the configuration is proved recent

Callers saw: a key that an operator had taken away ran for as long as a host had not heard of it, in touch or not. Cause: nothing on a host said how old its configuration might be. The dispatcher refuses requests with a key as not run without a proof, at admission, after a wait and before each retry.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -26,6 +26,7 @@
 from cardamomdeal.telemetry import histograms
 from cardamomdeal.workspaces import authentication
 from cardamomdeal.workspaces import model as workspace_model
+from cardamomdeal.workspaces import proof
 
 TICK_INTERVAL_MS = 1_000
 # A host that has just started gets its configuration within this time.
@@ -90,6 +91,7 @@
         self._time = time
         self._rng = random.Random()
         self._routes: routes.RouteTable | None = None
+        self._proof = proof.ConfigurationProof(settings.bounds)
         self._servers = server_tracker.ServerTracker(synchronizer, time)
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = (
             collections.defaultdict(
@@ -131,6 +133,9 @@
                 )
             case messages.RoutesUpdated(table):
                 self._routes = table
+            case messages.ProofUpdated(newer):
+                self._proof.record_applied(newer.revision)
+                self._proof.record(newer)
             case messages.ServersUpdated(servers, host_count):
                 self._servers.update_servers(servers, host_count)
             case messages.PeerReports(reports):
@@ -138,16 +143,22 @@
                     self._servers.record_peer_report(report)
             case messages.SettingsUpdated(settings):
                 self._settings = settings
+                self._proof.set_bounds(settings.bounds)
                 for budget in self._retry_budgets.values():
                     budget.set_bounds(settings.bounds)
             case messages.Tick():
                 self._servers.close_expired_connections()
             case messages.GetMetrics():
                 return messages.Metrics(
-                    dict(self._counters), self._histograms.encode()
+                    {**self._counters, **self._gauges()},
+                    self._histograms.encode(),
                 )
         return None
 
+    def _gauges(self) -> dict[str, int]:
+        age_ms = self._proof.age_ms(self._time.now_ms())
+        return {} if age_ms is None else {'proof.age_ms': age_ms}
+
     def _admit(self, admit: messages.Admit) -> messages.Decision:
         if self._is_stopping:
             # The process would exit before the server has answered.
@@ -164,9 +175,7 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
-        match authentication.authenticate(
-            self._routes.key_index, route.is_public, admit.credentials
-        ):
+        match self._authenticate(route, admit):
             case workspace_model.Unrestricted():
                 workspace = None
             case workspace_model.Authenticated(workspace):
@@ -196,8 +205,33 @@
         self._requests[request.admission_id] = request
         return self._place(request)
 
+    def _authenticate(
+        self, route: model.Route, admit: messages.Admit
+    ) -> workspace_model.Authentication:
+        """Return whose request this is, as far as that is known now."""
+        result = authentication.authenticate(
+            self._routes and self._routes.key_index,
+            route.is_public,
+            admit.credentials,
+        )
+        match result:
+            case workspace_model.Unrestricted():
+                return result
+            case _:
+                # Without a proof even a refusal of the key may be out of date.
+                return self._proof.check(self._time.now_ms()) or result
+
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
+        if request.reply is not None:
+            # Its key may have been taken away while it waited.
+            match self._authenticate(request.route, request.admit):
+                case workspace_model.Unauthenticated(reason):
+                    return self._end_unassigned(request, 401, reason)
+                case workspace_model.Unproven(reason, retry_after_ms):
+                    return self._end_unassigned(
+                        request, 503, reason, retry_after_ms
+                    )
         now_ms = self._time.now_ms()
         view = self._select_server(request, now_ms)
         if view is None:
@@ -263,6 +297,7 @@
                 'status': status,
                 'reason': reason,
                 'configuration': self._routes and self._routes.version,
+                'proof_age_ms': self._proof.age_ms(self._time.now_ms()),
             },
         )
         return messages.Rejected(status, reason, retry_after_ms)
@@ -374,6 +409,11 @@
         self, request: _Request, result: outcomes.AttemptResult
     ) -> str | None:
         now_ms = self._time.now_ms()
+        match self._authenticate(request.route, request.admit):
+            case workspace_model.Unauthenticated(reason):
+                return reason
+            case workspace_model.Unproven(reason):
+                return reason
         if request.deadline_at_ms - now_ms < MIN_REMAINING_MS:
             return 'not enough time left for an attempt'
         match result:
--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -21,6 +21,10 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        # Revision that wrote the configuration in force, and the one that
+        # wrote its entry last: they differ if that could not be applied.
+        self.applied_revision: int | None = None
+        self.configuration_revision: int | None = None
         self._configuration: model.Configuration | None = None
         self._new_routes: routes.RouteTable | None = None
         self._servers: registry.Registry[model.BackendServer] = (
@@ -40,6 +44,12 @@
         """Return whether requests can be served with this state."""
         return self._configuration is not None and not self.is_empty
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Return whether the configuration in force has workspaces."""
+        current = self._configuration
+        return current is not None and current.workspaces is not None
+
     def items(self) -> tuple[store.Item, ...]:
         """Return the store items as received, for sending to other hosts."""
         return tuple(self._items.values())
@@ -87,6 +97,8 @@
             for name in list(entry_registry.names()):
                 if prefix + name not in keys:
                     self.apply(store.Removal(prefix + name, revision), now_ms)
+        if wire.CONFIGURATION_KEY not in keys and self.configuration_revision:
+            self.configuration_revision = revision
         for item in items:
             self.apply(item, now_ms)
 
@@ -130,6 +142,9 @@
             self._apply_host(name, event, now_ms)
 
     def _apply_configuration(self, event: store.Event) -> None:
+        self.configuration_revision = max(
+            self.configuration_revision or 0, event.revision
+        )
         if isinstance(event, store.Removal):
             log.warning('configuration removed; keeping the last one')
             return
@@ -143,7 +158,12 @@
                 current = self._configuration
                 if current is None or decoded.version > current.version:
                     self._configuration = decoded
+                    self.applied_revision = event.revision
                     self._new_routes = routes.build(decoded)
+                elif decoded == current:
+                    self.applied_revision = max(
+                        self.applied_revision or 0, event.revision
+                    )
 
     def _apply_server(
         self, name: str, event: store.Event, now_ms: int
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -7,6 +7,7 @@
 from cardamomdeal.channels import datagrams
 from cardamomdeal.entry import fleet_state
 from cardamomdeal.entry import messages
+from cardamomdeal.entry import proof_keeper
 from cardamomdeal.entry import report_exchange
 from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
@@ -64,6 +65,9 @@
         self._store_readers = store_readers.StoreReaders(settings.name)
         self._peers = peers.Peers(settings.name)
         self._reports = report_exchange.ReportExchange(host, self._rng)
+        self._proofs = proof_keeper.ProofKeeper(
+            settings, host, self._state, self._rng
+        )
         self._is_flush_scheduled = False
         self._hosts: tuple[model.EntryHost, ...] = ()
         self._last_update: messages.ServersUpdated | None = None
@@ -108,8 +112,8 @@
                 self._handle_datagram(sender, received)
             case messages.StoreSnapshot():
                 self._handle_store_snapshot(message)
-            case messages.StoreChanged(after_revision, events, revision):
-                self._handle_store_changes(after_revision, events, revision)
+            case messages.StoreChanged():
+                self._handle_store_changes(message)
             case messages.StoreFailed(reason):
                 self._record_store_failure(reason)
             case (
@@ -132,6 +136,7 @@
                 self._update_store_reading()
             case messages.SettingsUpdated(settings):
                 self._settings = settings
+                self._proofs.set_settings(settings)
             case messages.PrepareStop():
                 self._is_stopping = True
         return None
@@ -141,6 +146,7 @@
         if self._state.expire(now_ms):
             self._send_updates()
         self._update_store_reading()
+        self._ask_for_proof(now_ms)
         if self._freshness.is_stale(now_ms):
             self._request_view(now_ms)
         if self._is_reading and self._freshness.was_confirmed:
@@ -155,6 +161,8 @@
         should_read = self._store_readers.is_reader(
             now_ms
         ) or self._freshness.needs_store_read(now_ms)
+        wants_answer = self._proofs.wants_store_answer(now_ms)
+        should_read = should_read or wants_answer
         if should_read != self._is_reading:
             self._is_reading = should_read
             log.info(
@@ -171,7 +179,9 @@
         if self._store_readers.is_settled_reader(now_ms):
             call_interval_ms = READER_CALL_INTERVAL_MS
         self._tasks.follower.tell(
-            messages.FollowStore(should_read, retry_delay_ms, call_interval_ms)
+            messages.FollowStore(
+                should_read, retry_delay_ms, call_interval_ms, wants_answer
+            )
         )
 
     def _view_age_ms(self) -> int:
@@ -202,6 +212,11 @@
                 self._answer_view_request(sender, revision, age_ms)
             case protocol.ViewPart():
                 self._handle_view_part(received, now_ms)
+            case protocol.ProofRequest():
+                self._send_all(self._proofs.answer(sender, received, now_ms))
+            case protocol.ProofReply():
+                self._proofs.record_reply(received)
+                self._send_proof()
             case protocol.ServerReports():
                 self._receive_reports(received)
             case _:
@@ -413,8 +428,10 @@
         if snapshot.revision < self._state.revision:
             # Other hosts sent newer changes while the items were read.
             self._freshness.confirm(now_ms)
-            return
-        self._replace_view(snapshot.items, snapshot.revision, now_ms)
+        else:
+            self._replace_view(snapshot.items, snapshot.revision, now_ms)
+        self._proofs.record_store_answer(snapshot.asked_at_ms)
+        self._send_proof()
 
     def _replace_view(
         self, items: tuple[store.Item, ...], revision: int, valid_at_ms: int
@@ -426,12 +443,8 @@
         self._freshness.confirm(valid_at_ms)
         self._send_updates()
 
-    def _handle_store_changes(
-        self,
-        after_revision: int,
-        events: tuple[store.Event, ...],
-        revision: int,
-    ) -> None:
+    def _handle_store_changes(self, changes: messages.StoreChanged) -> None:
+        after_revision, revision = changes.after_revision, changes.revision
         now_ms = self._time.now_ms()
         self._record_store_response(now_ms)
         known_revision = self._state.revision
@@ -441,10 +454,12 @@
                 extra={'known': known_revision, 'after': after_revision},
             )
             return
-        has_new_changes = self._apply_changes(events, revision)
+        has_new_changes = self._apply_changes(changes.events, revision)
         self._freshness.confirm(now_ms)
+        self._proofs.record_store_answer(changes.asked_at_ms)
+        self._send_proof()
         if has_new_changes and self._store_readers.should_send_changes(now_ms):
-            entries = [_to_entry(event) for event in events]
+            entries = [_to_entry(event) for event in changes.events]
             for message in self._split_changes(
                 entries, after_revision, revision
             ):
@@ -517,6 +532,7 @@
             )
             self._tasks.dispatcher.tell(messages.RoutesUpdated(table))
             self._tasks.limit_enforcer.set_limits(table.limits)
+            self._send_proof()
         update = messages.ServersUpdated(
             self._state.servers(), max(1, len(hosts))
         )
@@ -530,10 +546,29 @@
         if self._state.pop_host_removal(self._settings.name):
             self._tasks.registrar.tell(messages.RegistrationLost())
 
+    def _ask_for_proof(self, now_ms: int) -> None:
+        self._send_all(
+            self._proofs.ask(
+                self._is_reading,
+                self._reports.local_relays(now_ms),
+                self._store_readers.reading(now_ms),
+                now_ms,
+            )
+        )
+
+    def _send_proof(self) -> None:
+        """Tell the dispatcher of a newer proof, after the routes it needs."""
+        if self._tasks is None:
+            return
+        update = self._proofs.pop_update(self._time.now_ms())
+        if update is not None:
+            self._tasks.dispatcher.tell(update)
+
     def _set_hosts(self, hosts: tuple[model.EntryHost, ...]) -> None:
         self._hosts = hosts
         self._peers.set_registered(hosts, self._time.now_ms())
         self._reports.set_hosts(hosts, self._time.now_ms())
+        self._proofs.set_hosts(hosts)
         self._store_readers.set_hosts(
             {host.name: host.link_mbps for host in (self._host, *hosts)},
             self._time.now_ms(),
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -16,6 +16,7 @@
 from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.workspaces import model as workspace_model
+from cardamomdeal.workspaces import proof
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +106,13 @@
     table: routes.RouteTable
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProofUpdated:
+    """Newer proof that the routes sent before are of the newest version."""
+
+    proof: proof.Proof
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersUpdated:
     """Backend servers that are present and the number of entry hosts."""
@@ -232,6 +240,8 @@
     retry_delay_ms: int
     # Minimum time between the starts of two calls.
     call_interval_ms: int
+    # Whether to get an answer soon rather than to save calls.
+    is_urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -245,6 +255,8 @@
 
     items: tuple[store.Item, ...]
     revision: int
+    # When the store was asked, by this host's clock.
+    asked_at_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -254,6 +266,8 @@
     after_revision: int
     events: tuple[store.Event, ...]
     revision: int
+    # When the store was asked, by this host's clock.
+    asked_at_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/entry/report_exchange.py
+++ b/src/cardamomdeal/entry/report_exchange.py
@@ -39,6 +39,10 @@
         """Replace the entry hosts that are present."""
         self._relays.set_hosts(hosts, now_ms)
 
+    def local_relays(self, now_ms: int) -> tuple[model.EntryHost, ...]:
+        """Return the relays of this data centre that are alive, in order."""
+        return self._relays.local_relays(now_ms)
+
     def record_received(self, now_ms: int) -> None:
         """Record that any message of another host was received."""
         self._relays.record_received(now_ms)
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -18,6 +18,10 @@
 # A broken connection without traffic is detected only when the watch on it
 # ends, so this time largely determines how late a change is received.
 WATCH_MS = 700
+# A host whose proof is old asks again at once, and lets a slow store take
+# longer.
+URGENT_WATCH_MS = 50
+URGENT_MARGIN_MS = 1_200
 ALL_KEYS_PREFIX = ''
 
 log = logging.getLogger(__name__)
@@ -42,6 +46,7 @@
         self._is_polling = False
         self._retry_delay_ms = 0
         self._call_interval_ms = 0
+        self._is_urgent = False
         self._wait_event = threading.Event()
         self._rng = random.Random()
 
@@ -53,8 +58,9 @@
         """Handle one message."""
         match message:
             case messages.FollowStore(
-                follow, retry_delay_ms, call_interval_ms
+                follow, retry_delay_ms, call_interval_ms, is_urgent
             ):
+                self._is_urgent = is_urgent
                 self._retry_delay_ms = retry_delay_ms
                 self._call_interval_ms = call_interval_ms
                 self._set_following(follow)
@@ -105,17 +111,21 @@
             return Failure(errors.PlatformError(repr(error)))
 
     def _read_store(self) -> Any:
+        asked_at_ms = self._time.now_ms()
         if self._revision is None:
             return self._client.range(ALL_KEYS_PREFIX).map(
                 lambda snapshot: messages.StoreSnapshot(
-                    snapshot.items, snapshot.revision
+                    snapshot.items, snapshot.revision, asked_at_ms
                 )
             )
         after_revision = self._revision
+        wait_ms, margin_ms = WATCH_MS, store.WATCH_TIMEOUT_MARGIN_MS
+        if self._is_urgent:
+            wait_ms, margin_ms = URGENT_WATCH_MS, URGENT_MARGIN_MS
         return self._client.watch(
-            ALL_KEYS_PREFIX, after_revision, WATCH_MS
+            ALL_KEYS_PREFIX, after_revision, wait_ms, margin_ms
         ).map(
             lambda changes: messages.StoreChanged(
-                after_revision, changes.events, changes.revision
+                after_revision, changes.events, changes.revision, asked_at_ms
             )
         )
--- a/src/cardamomdeal/fleet/report_relays.py
+++ b/src/cardamomdeal/fleet/report_relays.py
@@ -94,6 +94,14 @@
                 return host
         return None
 
+    def local_relays(self, now_ms: int) -> tuple[model.EntryHost, ...]:
+        """Return the relays of this data centre that are alive, in order."""
+        return tuple(
+            host
+            for host in self._ranked.get(self._host.data_centre, ())
+            if self._is_alive(host.name, now_ms)
+        )
+
     def remote_relays(self, now_ms: int) -> tuple[model.EntryHost, ...]:
         """Return a relay for each other data centre."""
         return tuple(
--- a/src/cardamomdeal/fleet/store_readers.py
+++ b/src/cardamomdeal/fleet/store_readers.py
@@ -21,6 +21,11 @@
     received_at_ms: int
     view_age_ms: int
 
+    @property
+    def valid_at_ms(self) -> int:
+        """Return as of when the reader's view was complete."""
+        return self.received_at_ms - self.view_age_ms
+
 
 class StoreReaders:
     """Ranking of the hosts as store readers, and their last reports.
@@ -60,6 +65,17 @@
         """Record a host's report of the age of its view of the store."""
         self._reports[name] = ProgressReport(now_ms, view_age_ms)
 
+    def reading(self, now_ms: int) -> list[str]:
+        """Return the other hosts that read the store, best view first."""
+        names = [
+            name
+            for name in self._reports
+            if name != self._name and self._is_reading(name, now_ms)
+        ]
+        return sorted(names, key=lambda name: self._reports[name].valid_at_ms)[
+            ::-1
+        ]
+
     def is_reader(self, now_ms: int) -> bool:
         """Return whether this host must read the store itself."""
         preferred = self._ranked[: self._ranked.index(self._name)]
--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -155,14 +155,18 @@
             after = page.items[-1].key
 
     def watch(
-        self, prefix: str, after_revision: int, wait_ms: int
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_ms: int,
+        margin_ms: int = WATCH_TIMEOUT_MARGIN_MS,
     ) -> Result[Changes, errors.PlatformError]:
         """Wait for changes after a revision; empty when the wait expires."""
         response = self._call(
             'GET',
             'kv-watch',
             {'prefix': prefix, 'after': after_revision, 'wait_ms': wait_ms},
-            timeout_ms=wait_ms + WATCH_TIMEOUT_MARGIN_MS,
+            timeout_ms=wait_ms + margin_ms,
         )
         return response.bind(lambda data: _parse(_WatchReply, data)).map(
             lambda reply: Changes(
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -287,6 +287,22 @@
     entries: tuple[StoreEntry, ...]
 
 
+class ProofRequest(Message, frozen=True):
+    """Ask as of when a host knows its configuration to be the newest."""
+
+    nonce: int
+    # Age of the proof of the host that asks; None without one.
+    age_ms: int | None
+
+
+class ProofReply(Message, frozen=True):
+    """Reply to a ProofRequest: this revision was the newest so long ago."""
+
+    nonce: int
+    revision: int
+    age_ms: int
+
+
 class ServerReport(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """What a host observed of one incarnation of a backend server."""
 
@@ -370,5 +386,7 @@
     | StoreChangesRequest
     | ViewRequest
     | ViewPart
+    | ProofRequest
+    | ProofReply
     | ServerReports
 )
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -255,7 +255,7 @@
                 self.applied_at_ms[table.version] = now_ms
             case messages.ServersUpdated(servers, _):
                 self.servers = {server.server_id for server in servers}
-            case messages.FollowStore(should_read, _, call_interval_ms):
+            case messages.FollowStore(should_read, _, call_interval_ms, _):
                 self._should_read = should_read
                 self._call_interval_ms = call_interval_ms
                 if should_read and not self._is_calling:
@@ -300,7 +300,9 @@
         current = self._fleet.store
         if self._revision is None:
             update: Any = messages.StoreSnapshot(
-                tuple(current.items.values()), current.revision
+                tuple(current.items.values()),
+                current.revision,
+                self._events.clock.now_ms(),
             )
         else:
             after_revision = self._revision
@@ -310,7 +312,10 @@
                 if event.revision > after_revision
             )
             update = messages.StoreChanged(
-                after_revision, changes, current.revision
+                after_revision,
+                changes,
+                current.revision,
+                self._events.clock.now_ms(),
             )
         self._revision = current.revision
         self.synchronizer.receive(update)
@@ -519,7 +524,9 @@
         self.fleet = Fleet(3, 1, 10)
         self.host = self.fleet.hosts[2]
         self.old_read = messages.StoreSnapshot(
-            tuple(self.fleet.store.items.values()), self.fleet.store.revision
+            tuple(self.fleet.store.items.values()),
+            self.fleet.store.revision,
+            self.fleet.events.clock.now_ms(),
         )
 
     def test_removed_server_stays_removed(self) -> None:
