Decode workspaces, and replace their keys by digests as they are read

Callers saw: nothing; the configuration's tenants and public were ignored. Cause: they were not decoded, and a stored configuration was kept and passed on to other hosts with all keys in it. Change: the store follower replaces keys by digests of 16 bytes before a value reaches another task; the decoder takes digests only. A row that is bad, a name that is there twice and a key of two workspaces are refused by their field, without the values, and the last good configuration stays in force. A configuration without tenants passes unchanged. Workspaces that a new configuration does not change are taken from the index before. Errors of the store's answers no longer repeat what the answer held. Evidence: test_keys_of_workspaces_do_not_enter_the_process failed before.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -21,7 +21,8 @@
 
     def __init__(self) -> None:
         self.revision = 0
-        self._configuration: model.Configuration | None = None
+        # Of the configuration in force.
+        self._routes: routes.RouteTable | None = None
         self._new_routes: routes.RouteTable | None = None
         self._servers: registry.Registry[model.BackendServer] = (
             registry.Registry()
@@ -38,7 +39,7 @@
     @property
     def is_complete(self) -> bool:
         """Return whether requests can be served with this state."""
-        return self._configuration is not None and not self.is_empty
+        return self._routes is not None and not self.is_empty
 
     def items(self) -> tuple[store.Item, ...]:
         """Return the store items as received, for sending to other hosts."""
@@ -140,10 +141,10 @@
                     extra={'reason': str(error)},
                 )
             case Success(decoded):
-                current = self._configuration
+                current = self._routes
                 if current is None or decoded.version > current.version:
-                    self._configuration = decoded
-                    self._new_routes = routes.build(decoded)
+                    self._routes = routes.build(decoded, current)
+                    self._new_routes = self._routes
 
     def _apply_server(
         self, name: str, event: store.Event, now_ms: int
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -13,6 +13,7 @@
 from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
 from cardamomdeal.platform import errors
+from cardamomdeal.platform import redaction
 from cardamomdeal.platform import store
 
 # A broken connection without traffic is detected only when the watch on it
@@ -108,7 +109,8 @@
         if self._revision is None:
             return self._client.range(ALL_KEYS_PREFIX).map(
                 lambda snapshot: messages.StoreSnapshot(
-                    snapshot.items, snapshot.revision
+                    tuple(map(redaction.redact, snapshot.items)),
+                    snapshot.revision,
                 )
             )
         after_revision = self._revision
@@ -116,6 +118,8 @@
             ALL_KEYS_PREFIX, after_revision, WATCH_MS
         ).map(
             lambda changes: messages.StoreChanged(
-                after_revision, changes.events, changes.revision
+                after_revision,
+                tuple(map(redaction.redact, changes.events)),
+                changes.revision,
             )
         )
--- a/src/cardamomdeal/fleet/routes.py
+++ b/src/cardamomdeal/fleet/routes.py
@@ -34,8 +34,13 @@
         return None
 
 
-def build(configuration: model.Configuration) -> RouteTable:
-    """Return the route table of a configuration."""
+def build(
+    configuration: model.Configuration, previous: RouteTable | None = None
+) -> RouteTable:
+    """Return the route table of a configuration.
+
+    Workspaces that have not changed are taken from the previous table.
+    """
     by_hostname: dict[str, dict[str, model.Route]] = {}
     for route in configuration.routes:
         by_hostname.setdefault(route.hostname.lower(), {})[route.prefix] = (
@@ -47,7 +52,9 @@
         by_hostname,
         None
         if configuration.workspaces is None
-        else keys.build(configuration.workspaces),
+        else keys.build(
+            configuration.workspaces, previous and previous.key_index
+        ),
     )
 
 
--- a/src/cardamomdeal/platform/configuration.py
+++ b/src/cardamomdeal/platform/configuration.py
@@ -12,12 +12,17 @@
 from cardamomdeal.fleet import errors
 from cardamomdeal.fleet import model
 from cardamomdeal.internal import units
+from cardamomdeal.platform import credentials
+from cardamomdeal.workspaces import authentication
+from cardamomdeal.workspaces import model as workspace_model
 
 # For routes that set no number of attempts: the smallest number that allows
 # a refused request to be retried on another server. The caller's deadline
 # limits the request in any case.
 DEFAULT_ATTEMPTS = 2
 LOWEST_PRIORITY = 9
+# More errors of one configuration are counted, not described.
+MAX_DESCRIBED_ERRORS = 5
 
 _KINDS: dict[str, model.WorkKind] = {
     'safe': model.Idempotent(),
@@ -25,6 +30,11 @@
     'upload': model.Upload(),
 }
 
+KeyDigest = Annotated[
+    bytes, pydantic.BeforeValidator(credentials.decode_digest)
+]
+RateOrAmount = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+
 
 def _expand_table(value: Any) -> Any:
     """Convert a table with columns and rows to a list of objects."""
@@ -67,6 +77,7 @@
     target_latency: units.DurationMs | None = None
     attempts: Annotated[int, pydantic.Field(ge=1)] = DEFAULT_ATTEMPTS
     priority: int = LOWEST_PRIORITY
+    public: bool = False
     service: str | None = None
     traffic_split: Annotated[
         list[WeightedServiceModel] | None,
@@ -80,6 +91,36 @@
         return self
 
 
+class WorkspaceModel(pydantic.BaseModel):
+    """Schema of a workspace; its keys are replaced by digests before."""
+
+    # It is sent in a header.
+    name: Annotated[
+        str, pydantic.Field(pattern=r'^[!-~]([ -~]*[!-~])?$', max_length=200)
+    ]
+    api_keys: list[KeyDigest] = []
+    priority: int | None = None
+    rate_per_s: RateOrAmount = 0.0
+    burst: RateOrAmount = 0.0
+
+
+def _check_unique(workspaces: list[WorkspaceModel]) -> list[WorkspaceModel]:
+    names: set[str] = set()
+    holders: dict[workspace_model.KeyDigest, str] = {}
+    for workspace in workspaces:
+        if workspace.name in names:
+            raise ValueError(f'two entries have the name {workspace.name}')
+        names.add(workspace.name)
+        for digest in workspace.api_keys:
+            holder = holders.setdefault(digest, workspace.name)
+            if holder != workspace.name:
+                raise ValueError(
+                    f'api_keys: {holder} and {workspace.name} share the key '
+                    f'{authentication.short_digest(digest)}'
+                )
+    return workspaces
+
+
 class ServiceModel(pydantic.BaseModel):
     """Schema of a service."""
 
@@ -107,6 +148,14 @@
         list[ServiceModel], pydantic.BeforeValidator(_expand_table)
     ]
     limits: LimitsModel
+    # None if requests need no key.
+    tenants: Annotated[
+        list[WorkspaceModel] | None,
+        pydantic.BeforeValidator(_expand_table),
+        pydantic.AfterValidator(
+            lambda entries: entries and _check_unique(entries)
+        ),
+    ] = None
 
 
 def read_configuration(
@@ -115,8 +164,10 @@
     """Validate and decode a stored configuration."""
     try:
         parsed = ConfigurationModel.model_validate_json(value)
-    except ValueError as error:
-        return Failure(errors.InvalidEntry(f'configuration: {error}'))
+    except pydantic.ValidationError as error:
+        return Failure(
+            errors.InvalidEntry(f'configuration: {_describe(error)}')
+        )
     return Success(
         model.Configuration(
             version=parsed.version,
@@ -131,6 +182,7 @@
                 header_timeout_ms=parsed.limits.header_timeout,
                 idle_timeout_ms=parsed.limits.idle_timeout,
             ),
+            workspaces=_to_workspaces(parsed.tenants),
         )
     )
 
@@ -153,4 +205,37 @@
         priority=parsed.priority,
         max_attempts=parsed.attempts,
         targets=targets,
+        is_public=parsed.public,
     )
+
+
+def _to_workspaces(
+    parsed: list[WorkspaceModel] | None,
+) -> tuple[workspace_model.Workspace, ...] | None:
+    if parsed is None:
+        return None
+    return tuple(
+        workspace_model.Workspace(
+            entry.name,
+            tuple(entry.api_keys),
+            entry.priority,
+            workspace_model.Quota(entry.rate_per_s, entry.burst)
+            if entry.rate_per_s
+            else None,
+        )
+        for entry in parsed
+    )
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    """Return the fields and their errors, without what they held."""
+    descriptions = [
+        f'{".".join(map(str, details["loc"]))}: {details["msg"]}'
+        for details in error.errors(
+            include_url=False, include_context=False, include_input=False
+        )
+    ]
+    hidden_count = len(descriptions) - MAX_DESCRIBED_ERRORS
+    if hidden_count > 0:
+        descriptions[MAX_DESCRIBED_ERRORS:] = [f'{hidden_count} more errors']
+    return '; '.join(descriptions)
--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -68,7 +68,12 @@
     duration_ms: int
 
 
-class _ItemModel(pydantic.BaseModel):
+class _Reply(pydantic.BaseModel):
+    # Errors are logged, and values may hold keys of workspaces.
+    model_config = pydantic.ConfigDict(hide_input_in_errors=True)
+
+
+class _ItemModel(_Reply):
     key: str
     value: pydantic.Base64Bytes = b''
     revision: int
@@ -80,22 +85,22 @@
     store_revision: int = 0
 
 
-class _RangeReply(pydantic.BaseModel):
+class _RangeReply(_Reply):
     items: list[_ItemModel]
     has_more: bool
     store_revision: int
 
 
-class _WatchReply(pydantic.BaseModel):
+class _WatchReply(_Reply):
     events: list[_ItemModel]
     store_revision: int
 
 
-class _TransactionReply(pydantic.BaseModel):
+class _TransactionReply(_Reply):
     revision: int
 
 
-class _LeaseReply(pydantic.BaseModel):
+class _LeaseReply(_Reply):
     lease: int = NO_LEASE
     ttl_time: units.DurationMs
 
--- a/src/cardamomdeal/platform/wire.py
+++ b/src/cardamomdeal/platform/wire.py
@@ -11,9 +11,16 @@
 SERVER_LEAVING = 'Server-Leaving'
 RETRY_AFTER = 'Retry-After'
 
+# Name of the workspace on whose behalf a request runs.
+WORKSPACE = 'Cardamomdeal-Tenant'
+AUTHORIZATION = 'Authorization'
+KEY_SCHEME = 'Token'
+
 READY_PATH = '/cardamomdeal/ready'
 RESOLVE_PATH = '/cardamomdeal/resolve'
 
 CONFIGURATION_KEY = 'op/config'
+WORKSPACES_FIELD = 'tenants'
+KEYS_FIELD = 'api_keys'
 SERVERS_PREFIX = 'servers/'
 ENTRY_HOSTS_PREFIX = 'hosts/'
--- a/src/cardamomdeal/workspaces/keys.py
+++ b/src/cardamomdeal/workspaces/keys.py
@@ -1,10 +1,13 @@
 """Index of the keys of a configuration's workspaces."""
 
-from collections.abc import Iterable
 import dataclasses
+import hashlib
 
 from cardamomdeal.workspaces import model
 
+# Of SHA-256: enough that no two keys share a digest.
+DIGEST_BYTES = 16
+
 Workspaces = tuple[model.Workspace, ...]
 
 
@@ -20,8 +23,23 @@
         return self._by_digest.get(digest)
 
 
-def build(workspaces: Workspaces) -> KeyIndex:
-    """Return the index of workspaces that share no key."""
+def digest(key: str) -> model.KeyDigest:
+    """Return what stands for a key in memory and between hosts."""
+    return hashlib.sha256(key.encode()).digest()[:DIGEST_BYTES]
+
+
+def build(
+    workspaces: Workspaces, previous: KeyIndex | None = None
+) -> KeyIndex:
+    """Return the index of workspaces that share no key.
+
+    Unchanged workspaces are taken from the previous index, and all of it if
+    none has changed, as in most configurations.
+    """
+    if previous is not None:
+        if workspaces == previous.workspaces:
+            return previous
+        workspaces = _reuse_unchanged(workspaces, previous.workspaces)
     return KeyIndex(
         workspaces,
         {
@@ -32,14 +50,8 @@
     )
 
 
-def reuse_unchanged(
-    workspaces: Workspaces, known: Iterable[model.Workspace]
-) -> Workspaces:
-    """Return the workspaces, with the known object of each unchanged one.
-
-    Most configurations change no workspace, and two copies of all of them
-    would be held until the previous configuration is dropped.
-    """
+def _reuse_unchanged(workspaces: Workspaces, known: Workspaces) -> Workspaces:
+    """Return the workspaces, with the known object of each unchanged one."""
     by_name = {workspace.name: workspace for workspace in known}
     return tuple(
         by_name[workspace.name]
--- a/tests/contract/test_store_follower.py
+++ b/tests/contract/test_store_follower.py
@@ -24,15 +24,20 @@
     def __init__(self):
         super().__init__()
         self._keys = set()
+        self._values = []
 
     def on_receive(self, message):
         match message:
             case messages.StoreSnapshot(items, _):
                 self._keys |= {item.key for item in items}
+                self._values += [item.value for item in items]
             case messages.StoreChanged(_, events, _):
                 self._keys |= {event.key for event in events}
+                self._values += [event.value for event in events]
             case 'count':
                 return len(self._keys)
+            case 'values':
+                return self._values
         return None
 
 
@@ -89,6 +94,20 @@
             self.store.put(f'hosts/{n}', b'{}')
         self.wait_until_all_reported()
 
+    def test_keys_of_workspaces_do_not_enter_the_process(self):
+        # Values were kept and passed on to other hosts as they are stored.
+        value = b'{"tenants": [{"name": "a", "api_keys": ["a-key-%d"]}]}'
+        self.store.put('op/config', value % 1)
+        self.follower.tell(messages.FollowStore(True, 100, INTERVAL_MS))
+        for n in (2, 3):
+            time.sleep(2 * INTERVAL_MS / 1_000)
+            self.store.put('op/config', value % n)
+        deadline_s = time.monotonic() + 5
+        while len(received := self.key_recorder.ask('values')) < 3:
+            self.assertLess(time.monotonic(), deadline_s)
+            time.sleep(0.05)
+        self.assertNotIn(b'a-key', b''.join(received))
+
     def wait_until_all_reported(self):
         deadline_s = time.monotonic() + 5
         while time.monotonic() < deadline_s:
