Check the key of each request, and send its workspace in its place

Callers saw: a request with an unknown key, a removed key or none ran, its key went to the server, and so did what it claimed as its workspace. Change: one well-formed 'Authorization: Token KEY' is decoded in platform/; the HTTP server tells whether the header came on several lines, of which the library keeps the last. The dispatcher refuses others with 401, and asks again for each later attempt. The server gets the workspace's name and no key; the caller's claim of a workspace is dropped everywhere. Without workspaces the caller's Authorization is passed on as before. Processes of a test whose setUp fails are ended too: they held the output of the run above open.

--- a/src/cardamomdeal/entry/caller.py
+++ b/src/cardamomdeal/entry/caller.py
@@ -11,14 +11,19 @@
 from cardamomdeal.backend import errors as backend_errors
 from cardamomdeal.backend import header_fields
 from cardamomdeal.entry import errors
+from cardamomdeal.entry import messages
 from cardamomdeal.internal import body_buffer
 from cardamomdeal.internal import memory_budget
+from cardamomdeal.platform import credentials
 from cardamomdeal.platform import wire
+from cardamomdeal.workspaces import model as workspace_model
 
 # The HTTP server stores the caller's socket and the memory of the bodies
 # in the environ under these keys.
 ENVIRON_SOCKET_KEY = 'cardamomdeal.socket'
 ENVIRON_MEMORY_KEY = 'cardamomdeal.memory'
+# Whether the caller sent several headers with a key; the last one is kept.
+ENVIRON_IS_KEY_REPEATED = 'cardamomdeal.is_key_repeated'
 ENVIRON_REQUEST_ID_KEY = 'HTTP_' + wire.REQUEST_ID.upper().replace('-', '_')
 CHUNK_BYTES = 64 * 1024
 
@@ -50,6 +55,7 @@
     hostname: str
     path: str
     deadline_ms: int | None
+    credentials: workspace_model.Credentials
     headers: dict[str, str]
     body: body_buffer.Body
     memory: BodyMemory
@@ -117,6 +123,9 @@
         hostname=headers.get('Host', '').partition(':')[0],
         path=target.partition('?')[0],
         deadline_ms=_parse_deadline_ms(headers),
+        credentials=credentials.read_credentials(
+            headers.get(wire.AUTHORIZATION), environ[ENVIRON_IS_KEY_REPEATED]
+        ),
         headers=headers,
         body=_read_body(environ, headers, max_body_bytes, memory.request),
         memory=memory,
@@ -125,15 +134,19 @@
 
 
 def forwarded_headers(
-    request: CallerRequest, server_id: str, remaining_ms: int
+    request: CallerRequest, assigned: messages.Assigned, remaining_ms: int
 ) -> tuple[tuple[str, str], ...]:
-    """Return the headers to forward, with server id and remaining time."""
+    """Return the headers to forward, with those of the assigned server."""
+    # Names are compared as they arrive here: an underscore is a hyphen.
     replaced_names = {
+        wire.WORKSPACE.lower(),
         wire.DEADLINE_MS.lower(),
         wire.EXPECTED_SERVER.lower(),
         'content-length',
         'expect',
     }
+    if assigned.withholds_key:
+        replaced_names.add(wire.AUTHORIZATION.lower())
     headers = [
         (name, value)
         for name, value in header_fields.end_to_end_headers(request.headers)
@@ -145,7 +158,9 @@
     if has_body:
         headers.append(('Content-Length', str(request.body.size_bytes)))
     headers.append((wire.DEADLINE_MS, str(remaining_ms)))
-    headers.append((wire.EXPECTED_SERVER, server_id))
+    headers.append((wire.EXPECTED_SERVER, assigned.server.server_id))
+    if assigned.workspace is not None:
+        headers.append((wire.WORKSPACE, assigned.workspace))
     return tuple(headers)
 
 
@@ -163,6 +178,8 @@
     ]
     if request_id:
         headers.append((wire.REQUEST_ID, request_id))
+    if status == http.HTTPStatus.UNAUTHORIZED:
+        headers.append(('WWW-Authenticate', wire.KEY_SCHEME))
     if retry_after_ms is not None:
         headers.append(('Retry-After', f'{retry_after_ms / 1000:.3f}'))
     return Response(status, tuple(headers), body_buffer.Body((body,)))
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -53,6 +53,8 @@
     deadline_at_ms: int
     # None if the request needs no key.
     workspace: workspace_model.Workspace | None
+    # Whether the configuration had workspaces at any attempt.
+    withholds_key: bool
     # None until a server is assigned.
     attempt: server_tracker.Attempt | None = None
     tried_servers: set[model.Incarnation] = dataclasses.field(
@@ -164,9 +166,7 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
-        match authentication.authenticate(
-            self._routes.key_index, route.is_public, admit.credentials
-        ):
+        match self._authenticate(admit, route):
             case workspace_model.Unrestricted():
                 workspace = None
             case workspace_model.Authenticated(workspace):
@@ -191,11 +191,40 @@
             service,
             deadline_at_ms,
             workspace,
+            self._routes.key_index is not None,
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
         return self._place(request)
 
+    def _authenticate(
+        self, admit: messages.Admit, route: model.Route
+    ) -> workspace_model.Authentication:
+        """Return whose request this is by the configuration in force."""
+        assert self._routes is not None
+        return authentication.authenticate(
+            self._routes.key_index, route.is_public, admit.credentials
+        )
+
+    def _authenticate_again(self, request: _Request) -> str | None:
+        """Return why a request that was admitted may run no more, if so.
+
+        A configuration may have taken its key away, or given it to another
+        workspace.
+        """
+        assert self._routes is not None
+        request.withholds_key |= self._routes.key_index is not None
+        match self._authenticate(request.admit, request.route):
+            case workspace_model.Unrestricted():
+                request.workspace = None
+            case workspace_model.Authenticated(workspace):
+                request.workspace = workspace
+            case workspace_model.Unauthenticated(
+                reason
+            ) | workspace_model.Unproven(reason, _):
+                return reason
+        return None
+
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
         now_ms = self._time.now_ms()
@@ -305,6 +334,7 @@
                 'servers': selection.usable_count,
                 'second_chance': selection.is_probe,
                 'hosts': self._servers.host_count,
+                'workspace': request.workspace and request.workspace.name,
             },
         )
         return self._servers.find(selected.server.incarnation)
@@ -340,6 +370,8 @@
             reused.connection if reused else None,
             request.deadline_at_ms,
             request.sent_attempts + request.unsent_attempts,
+            request.workspace and request.workspace.name,
+            request.withholds_key,
         )
 
     def _retry(
@@ -347,7 +379,9 @@
     ) -> messages.RetryDecision:
         request = self._requests[admission_id]
         self._record_result(request, result)
-        reason = self._no_retry_reason(request, result)
+        reason = self._authenticate_again(request) or self._no_retry_reason(
+            request, result
+        )
         if reason is None:
             view = self._select_server(request, self._time.now_ms())
             if view is not None:
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -49,6 +49,7 @@
             request.path,
             request.deadline_ms,
             arrived_at_ms,
+            request.credentials,
         )
         try:
             decision = self._dispatcher.ask(
@@ -231,7 +232,7 @@
             method=self._request.method,
             target=self._request.target,
             headers=caller.forwarded_headers(
-                self._request, self._assigned.server.server_id, remaining_ms
+                self._request, self._assigned, remaining_ms
             ),
             body=self._request.body,
             id_header=wire.REQUEST_ID,
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -41,6 +41,10 @@
     connection: connection.BackendConnection | None
     deadline_at_ms: int
     attempt_number: int
+    # Name of the workspace on whose behalf the request runs, if any.
+    workspace: str | None = None
+    # Whether the caller's key is kept from the server.
+    withholds_key: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -17,6 +17,7 @@
 from cardamomdeal.internal import memory_budget
 from cardamomdeal.internal import refusals
 from cardamomdeal.internal import thread_pool
+from cardamomdeal.platform import wire
 from cardamomdeal.settings import model as settings_model
 
 # An entry host receives a few requests per second, each taking a second at
@@ -127,12 +128,15 @@
 
 
 class _SocketGateway(http_server.Gateway):
-    """WSGI gateway that adds the caller's socket and memory to the environ."""
+    """WSGI gateway that adds what the library does not keep in the environ."""
 
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ[caller.ENVIRON_SOCKET_KEY] = self.req.conn.socket
         environ[caller.ENVIRON_MEMORY_KEY] = self.req.conn.memory
+        environ[caller.ENVIRON_IS_KEY_REPEATED] = self.req.is_repeated(
+            wire.AUTHORIZATION
+        )
         return environ
 
 
--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -34,9 +34,35 @@
 log = logging.getLogger(__name__)
 
 
+class _HeaderReader(cheroot_server.HeaderReader):
+    """Reader that tells which headers came on more than one line.
+
+    The library keeps only the last line of most headers.
+    """
+
+    def __init__(self) -> None:
+        self.repeated: set[bytes] = set()
+        self._read: set[bytes] = set()
+
+    def _allow_header(self, key_name: bytes) -> bool:
+        """Record a line, also one that continues the line before."""
+        if key_name in self._read:
+            self.repeated.add(key_name)
+        self._read.add(key_name)
+        return super()._allow_header(key_name)
+
+
 class Request(cheroot_server.HTTPRequest):
     """Request that closes its connection if its body is not read."""
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.header_reader = _HeaderReader()
+
+    def is_repeated(self, header: str) -> bool:
+        """Return whether a header came on more than one line."""
+        return header.title().encode() in self.header_reader.repeated
+
     def send_headers(self) -> None:
         """Send the head of the response."""
         # The library reads the rest of a body into memory, but not if it is
--- a/tests/entry_case.py
+++ b/tests/entry_case.py
@@ -43,6 +43,7 @@
         self.client_ports = set()
         self.request_count = 0
         self.bodies = {}
+        self.environs = {}
         self._server = wsgi.Server(
             (LOOPBACK, self.port), self._serve, numthreads=16, max=16
         )
@@ -59,6 +60,7 @@
         self.client_ports.add(environ['REMOTE_PORT'])
         self.request_count += 1
         request_id = environ['HTTP_CARDAMOMDEAL_REQUEST_ID']
+        self.environs[request_id] = environ
         body = environ['wsgi.input'].read(
             int(environ.get('CONTENT_LENGTH') or 0)
         )
@@ -184,18 +186,14 @@
         for host in self.hosts:
             self.wait_until_ready(host)
 
-    def tearDown(self):
-        for process in self.processes:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
-
     def put_configuration(
         self,
         version,
         route_names,
         timeout='2000ms',
         max_body_bytes=1_000_000,
+        tenants=None,
+        public=(),
     ):
         routes = [
             [
@@ -234,6 +232,14 @@
                 'idle_timeout': '15000ms',
             },
         }
+        if tenants is not None:
+            value['tenants'] = {
+                'columns': ['name', 'api_keys', 'priority', 'rate_per_s'],
+                'rows': tenants,
+            }
+            value['routes']['columns'].append('public')
+            for row in routes:
+                row.append(row[0] in public)
         self.store.put(wire.CONFIGURATION_KEY, json.dumps(value).encode())
 
     def start_host(self, name, log_output=None, seeds=()):
@@ -283,9 +289,17 @@
                 stdout=log_file if log_output is None else log_output,
             )
         self.processes.append(process)
+        # A process outlives a `setUp` that fails before `tearDown` counts.
+        self.addCleanup(self._end_process, process)
         host['process'] = process
         return host
 
+    @staticmethod
+    def _end_process(process):
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
     def wait_until(self, condition, timeout_s=START_TIMEOUT_S):
         deadline_s = time.monotonic() + timeout_s
         while time.monotonic() < deadline_s:
