--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -54,6 +54,8 @@
     deadline_at_ms: int
     # None if the request needs no key.
     workspace: workspace_model.Workspace | None
+    # Whether the configuration had workspaces at any attempt.
+    withholds_key: bool
     # None until a server is assigned.
     attempt: server_tracker.Attempt | None = None
     tried_servers: set[model.Incarnation] = dataclasses.field(
@@ -175,7 +177,7 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
-        match self._authenticate(route, admit):
+        match self._authenticate(admit, route):
             case workspace_model.Unrestricted():
                 workspace = None
             case workspace_model.Authenticated(workspace):
@@ -200,19 +202,19 @@
             service,
             deadline_at_ms,
             workspace,
+            self._routes.key_index is not None,
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
         return self._place(request)
 
     def _authenticate(
-        self, route: model.Route, admit: messages.Admit
+        self, admit: messages.Admit, route: model.Route
     ) -> workspace_model.Authentication:
         """Return whose request this is, as far as that is known now."""
+        assert self._routes is not None
         result = authentication.authenticate(
-            self._routes and self._routes.key_index,
-            route.is_public,
-            admit.credentials,
+            self._routes.key_index, route.is_public, admit.credentials
         )
         match result:
             case workspace_model.Unrestricted():
@@ -221,11 +223,29 @@
                 # Without a proof even a refusal of the key may be out of date.
                 return self._proof.check(self._time.now_ms()) or result
 
+    def _authenticate_again(
+        self, request: _Request
+    ) -> workspace_model.Unauthenticated | workspace_model.Unproven | None:
+        """Return why a request that was admitted may run no more, if so.
+
+        A configuration may have taken its key away, or given it to another
+        workspace.
+        """
+        assert self._routes is not None
+        request.withholds_key |= self._routes.key_index is not None
+        match self._authenticate(request.admit, request.route):
+            case workspace_model.Unrestricted():
+                request.workspace = None
+            case workspace_model.Authenticated(workspace):
+                request.workspace = workspace
+            case refusal:
+                return refusal
+        return None
+
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
         if request.reply is not None:
-            # Its key may have been taken away while it waited.
-            match self._authenticate(request.route, request.admit):
+            match self._authenticate_again(request):
                 case workspace_model.Unauthenticated(reason):
                     return self._end_unassigned(request, 401, reason)
                 case workspace_model.Unproven(reason, retry_after_ms):
@@ -340,6 +360,7 @@
                 'servers': selection.usable_count,
                 'second_chance': selection.is_probe,
                 'hosts': self._servers.host_count,
+                'workspace': request.workspace and request.workspace.name,
             },
         )
         return self._servers.find(selected.server.incarnation)
@@ -375,6 +396,8 @@
             reused.connection if reused else None,
             request.deadline_at_ms,
             request.sent_attempts + request.unsent_attempts,
+            request.workspace and request.workspace.name,
+            request.withholds_key,
         )
 
     def _retry(
@@ -382,7 +405,12 @@
     ) -> messages.RetryDecision:
         request = self._requests[admission_id]
         self._record_result(request, result)
-        reason = self._no_retry_reason(request, result)
+        refusal = self._authenticate_again(request)
+        reason = (
+            refusal.reason
+            if refusal is not None
+            else self._no_retry_reason(request, result)
+        )
         if reason is None:
             view = self._select_server(request, self._time.now_ms())
             if view is not None:
@@ -409,11 +437,6 @@
         self, request: _Request, result: outcomes.AttemptResult
     ) -> str | None:
         now_ms = self._time.now_ms()
-        match self._authenticate(request.route, request.admit):
-            case workspace_model.Unauthenticated(reason):
-                return reason
-            case workspace_model.Unproven(reason):
-                return reason
         if request.deadline_at_ms - now_ms < MIN_REMAINING_MS:
             return 'not enough time left for an attempt'
         match result:
--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -25,7 +25,9 @@
         # wrote its entry last: they differ if that could not be applied.
         self.applied_revision: int | None = None
         self.configuration_revision: int | None = None
-        self._configuration: model.Configuration | None = None
+        self._applied_value: bytes | None = None
+        # Of the configuration in force.
+        self._routes: routes.RouteTable | None = None
         self._new_routes: routes.RouteTable | None = None
         self._servers: registry.Registry[model.BackendServer] = (
             registry.Registry()
@@ -42,13 +44,12 @@
     @property
     def is_complete(self) -> bool:
         """Return whether requests can be served with this state."""
-        return self._configuration is not None and not self.is_empty
+        return self._routes is not None and not self.is_empty
 
     @property
     def has_workspaces(self) -> bool:
         """Return whether the configuration in force has workspaces."""
-        current = self._configuration
-        return current is not None and current.workspaces is not None
+        return self._routes is not None and self._routes.key_index is not None
 
     def items(self) -> tuple[store.Item, ...]:
         """Return the store items as received, for sending to other hosts."""
@@ -155,12 +156,12 @@
                     extra={'reason': str(error)},
                 )
             case Success(decoded):
-                current = self._configuration
+                current = self._routes
                 if current is None or decoded.version > current.version:
-                    self._configuration = decoded
-                    self.applied_revision = event.revision
-                    self._new_routes = routes.build(decoded)
-                elif decoded == current:
+                    self._routes = routes.build(decoded, current)
+                    self._new_routes = self._routes
+                    self._applied_value = event.value
+                if event.value == self._applied_value:
                     self.applied_revision = max(
                         self.applied_revision or 0, event.revision
                     )
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -13,6 +13,7 @@
 from cardamomdeal.internal import actor
 from cardamomdeal.internal import clock
 from cardamomdeal.platform import errors
+from cardamomdeal.platform import redaction
 from cardamomdeal.platform import store
 
 # A broken connection without traffic is detected only when the watch on it
@@ -115,7 +116,9 @@
         if self._revision is None:
             return self._client.range(ALL_KEYS_PREFIX).map(
                 lambda snapshot: messages.StoreSnapshot(
-                    snapshot.items, snapshot.revision, asked_at_ms
+                    tuple(map(redaction.redact, snapshot.items)),
+                    snapshot.revision,
+                    asked_at_ms,
                 )
             )
         after_revision = self._revision
@@ -126,6 +129,9 @@
             ALL_KEYS_PREFIX, after_revision, wait_ms, margin_ms
         ).map(
             lambda changes: messages.StoreChanged(
-                after_revision, changes.events, changes.revision, asked_at_ms
+                after_revision,
+                tuple(map(redaction.redact, changes.events)),
+                changes.revision,
+                asked_at_ms,
             )
         )
