--- a/tests/entry_case.py
+++ b/tests/entry_case.py
@@ -170,6 +170,8 @@
 class EntryHostCase(unittest.TestCase):
     """Test case with two entry hosts before two backend servers."""
 
+    extra_bounds: dict[str, object] = {}
+
     def setUp(self):
         self.store_port = fleet.free_port()
         self.store = store_standin.StoreStandin(LOOPBACK, self.store_port)
@@ -265,6 +267,7 @@
                 'repeat_window': '10s',
                 'repeat_slack': 60.0,
                 'capacity_floor': 0.7,
+                **self.extra_bounds,
             },
         }
         directory = tempfile.TemporaryDirectory()
