--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -24,6 +24,8 @@
 from cardamomdeal.internal import scheduler
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.telemetry import histograms
+from cardamomdeal.workspaces import authentication
+from cardamomdeal.workspaces import model as workspace_model
 
 TICK_INTERVAL_MS = 1_000
 # A host that has just started gets its configuration within this time.
@@ -49,6 +51,10 @@
     route: model.Route
     service: str
     deadline_at_ms: int
+    # None if the request needs no key.
+    workspace: workspace_model.Workspace | None
+    # Whether the configuration had workspaces at any attempt.
+    withholds_key: bool
     # None until a server is assigned.
     attempt: server_tracker.Attempt | None = None
     tried_servers: set[model.Incarnation] = dataclasses.field(
@@ -61,6 +67,13 @@
         None
     )
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of the workspace, else that of the route."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
 
 class Dispatcher(actor.Actor):
     """Actor that decides which server runs a request, and when."""
@@ -153,6 +166,15 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
+        match self._authenticate(admit, route):
+            case workspace_model.Unrestricted():
+                workspace = None
+            case workspace_model.Authenticated(workspace):
+                pass
+            case workspace_model.Unauthenticated(reason):
+                return self._reject(admit, 401, reason)
+            case workspace_model.Unproven(reason, retry_after_ms):
+                return self._reject(admit, 503, reason, retry_after_ms)
         now_ms = self._time.now_ms()
         deadline_at_ms = _deadline_at_ms(route, admit)
         if deadline_at_ms - now_ms < MIN_REMAINING_MS:
@@ -163,12 +185,46 @@
         )
         self._servers.record_request(service)
         request = _Request(
-            self._next_admission_id, admit, route, service, deadline_at_ms
+            self._next_admission_id,
+            admit,
+            route,
+            service,
+            deadline_at_ms,
+            workspace,
+            self._routes.key_index is not None,
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
         return self._place(request)
 
+    def _authenticate(
+        self, admit: messages.Admit, route: model.Route
+    ) -> workspace_model.Authentication:
+        """Return whose request this is by the configuration in force."""
+        assert self._routes is not None
+        return authentication.authenticate(
+            self._routes.key_index, route.is_public, admit.credentials
+        )
+
+    def _authenticate_again(self, request: _Request) -> str | None:
+        """Return why a request that was admitted may run no more, if so.
+
+        A configuration may have taken its key away, or given it to another
+        workspace.
+        """
+        assert self._routes is not None
+        request.withholds_key |= self._routes.key_index is not None
+        match self._authenticate(request.admit, request.route):
+            case workspace_model.Unrestricted():
+                request.workspace = None
+            case workspace_model.Authenticated(workspace):
+                request.workspace = workspace
+            case workspace_model.Unauthenticated(
+                reason
+            ) | workspace_model.Unproven(reason, _):
+                return reason
+        return None
+
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
         now_ms = self._time.now_ms()
@@ -278,6 +334,7 @@
                 'servers': selection.usable_count,
                 'second_chance': selection.is_probe,
                 'hosts': self._servers.host_count,
+                'workspace': request.workspace and request.workspace.name,
             },
         )
         return self._servers.find(selected.server.incarnation)
@@ -313,6 +370,8 @@
             reused.connection if reused else None,
             request.deadline_at_ms,
             request.sent_attempts + request.unsent_attempts,
+            request.workspace and request.workspace.name,
+            request.withholds_key,
         )
 
     def _retry(
@@ -320,7 +379,9 @@
     ) -> messages.RetryDecision:
         request = self._requests[admission_id]
         self._record_result(request, result)
-        reason = self._no_retry_reason(request, result)
+        reason = self._authenticate_again(request) or self._no_retry_reason(
+            request, result
+        )
         if reason is None:
             view = self._select_server(request, self._time.now_ms())
             if view is not None:
