--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -23,6 +23,10 @@
         self.revision = 0
         # Of the configuration in force.
         self._routes: routes.RouteTable | None = None
+        # Revision that wrote the configuration in force, and the one that
+        # wrote its entry last: they differ if that could not be applied.
+        self.applied_revision: int | None = None
+        self.configuration_revision: int | None = None
         self._new_routes: routes.RouteTable | None = None
         self._servers: registry.Registry[model.BackendServer] = (
             registry.Registry()
@@ -41,6 +45,11 @@
         """Return whether requests can be served with this state."""
         return self._routes is not None and not self.is_empty
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Return whether the configuration in force has workspaces."""
+        return self._routes is not None and self._routes.key_index is not None
+
     def items(self) -> tuple[store.Item, ...]:
         """Return the store items as received, for sending to other hosts."""
         return tuple(self._items.values())
@@ -88,6 +97,8 @@
             for name in list(entry_registry.names()):
                 if prefix + name not in keys:
                     self.apply(store.Removal(prefix + name, revision), now_ms)
+        if wire.CONFIGURATION_KEY not in keys and self.configuration_revision:
+            self.configuration_revision = revision
         for item in items:
             self.apply(item, now_ms)
 
@@ -131,6 +142,9 @@
             self._apply_host(name, event, now_ms)
 
     def _apply_configuration(self, event: store.Event) -> None:
+        self.configuration_revision = max(
+            self.configuration_revision or 0, event.revision
+        )
         if isinstance(event, store.Removal):
             log.warning('configuration removed; keeping the last one')
             return
@@ -145,6 +159,11 @@
                 if current is None or decoded.version > current.version:
                     self._routes = routes.build(decoded, current)
                     self._new_routes = self._routes
+                    self.applied_revision = event.revision
+                elif routes.build(decoded, current) == current:
+                    self.applied_revision = max(
+                        self.applied_revision or 0, event.revision
+                    )
 
     def _apply_server(
         self, name: str, event: store.Event, now_ms: int
