Lend the quotas of workspaces between hosts

What callers saw: a workspace's quota was not applied at any host. The dispatcher asks behind authentication. Without quotas nothing is sent.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -15,6 +15,7 @@
 from cardamomdeal.balancing import server_selection
 from cardamomdeal.balancing import server_views
 from cardamomdeal.entry import messages
+from cardamomdeal.entry import quota_gate
 from cardamomdeal.entry import server_tracker
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import routes
@@ -26,6 +27,7 @@
 from cardamomdeal.telemetry import histograms
 from cardamomdeal.workspaces import authentication
 from cardamomdeal.workspaces import model as workspace_model
+from cardamomdeal.workspaces import token_holder
 
 TICK_INTERVAL_MS = 1_000
 # A host that has just started gets its configuration within this time.
@@ -58,6 +60,9 @@
     tried_servers: set[model.Incarnation] = dataclasses.field(
         default_factory=set
     )
+    # Token of the workspace's quota, if it has one.
+    token: token_holder.Token | None = None
+    may_have_run: bool = False
     sent_attempts: int = 1
     unsent_attempts: int = 0
     # Delivers the decision if the request has to wait for it.
@@ -91,6 +96,14 @@
         self._rng = random.Random()
         self._routes: routes.RouteTable | None = None
         self._servers = server_tracker.ServerTracker(synchronizer, time)
+        self._quotas = quota_gate.QuotaGate(
+            self.actor_ref,
+            settings,
+            synchronizer,
+            time,
+            timers,
+            self._resume_after_quota,
+        )
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = (
             collections.defaultdict(
                 lambda: retry_budget.RetryBudget(
@@ -125,12 +138,14 @@
                 self._withdraw(admission_id)
             case messages.StopAdmitting():
                 self._is_stopping = True
+                self._quotas.stop()
                 log.info(
                     'new requests are refused from now on',
                     extra={'in_flight': len(self._requests)},
                 )
             case messages.RoutesUpdated(table):
                 self._routes = table
+                self._quotas.set_routes(table)
             case messages.ServersUpdated(servers, host_count):
                 self._servers.update_servers(servers, host_count)
             case messages.PeerReports(reports):
@@ -138,13 +153,22 @@
                     self._servers.record_peer_report(report)
             case messages.SettingsUpdated(settings):
                 self._settings = settings
+                self._quotas.set_settings(settings)
                 for budget in self._retry_budgets.values():
                     budget.set_bounds(settings.bounds)
+            case (
+                messages.HostsSeen()
+                | messages.QuotaDatagram()
+                | messages.FlushQuotas()
+                | messages.WakeQuotas()
+            ):
+                self._quotas.receive(message)
             case messages.Tick():
                 self._servers.close_expired_connections()
             case messages.GetMetrics():
                 return messages.Metrics(
-                    dict(self._counters), self._histograms.encode()
+                    {**self._counters, **self._quotas.metrics()},
+                    self._histograms.encode(),
                 )
         return None
 
@@ -194,7 +218,62 @@
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
-        return self._place(request)
+        return self._check_quota(request)
+
+    def _check_quota(self, request: _Request) -> messages.Decision:
+        """Place a request if its workspace's quota permits, or reject it."""
+        outcome = self._quotas.admit(request.admission_id, request.workspace)
+        match outcome:
+            case None:
+                return self._place(request)
+            case token_holder.Asked():
+                return self._defer(request)
+            case _:
+                return self._after_quota(request, outcome)
+
+    def _after_quota(
+        self, request: _Request, outcome: token_holder.Outcome
+    ) -> messages.Decision:
+        quota = request.workspace and request.workspace.quota
+        details = {
+            'workspace': request.workspace and request.workspace.name,
+            'rate_per_s': quota and quota.rate_per_s,
+            'burst': quota and quota.burst,
+        }
+        match outcome:
+            case token_holder.Granted(token):
+                request.token = token
+                return self._place(request)
+            case token_holder.OverLimit(retry_after_ms, lender, age_ms):
+                details |= {'lender': lender, 'age_ms': age_ms, 'tokens': 0}
+                return self._end_unassigned(
+                    request, 429, 'over the quota', retry_after_ms, details
+                )
+            case token_holder.NoLender(retry_after_ms):
+                return self._end_unassigned(
+                    request,
+                    503,
+                    'no host lends the quota',
+                    retry_after_ms,
+                    details,
+                )
+
+    def _resume_after_quota(
+        self, admission_id: int, outcome: token_holder.Outcome
+    ) -> None:
+        """Go on with a request that has waited for its quota."""
+        request = self._requests.get(admission_id)
+        if request is None:
+            match outcome:
+                case token_holder.Granted(token):
+                    self._quotas.give_back(token)
+            return
+        match self._after_quota(request, outcome):
+            case messages.Waiting():
+                # It waits on, for another reason.
+                pass
+            case decision:
+                self._resume(request, decision)
 
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
@@ -215,14 +294,25 @@
         status: int,
         reason: str,
         retry_after_ms: int | None = None,
+        details: dict[str, Any] | None = None,
     ) -> messages.Rejected:
         """Reject a request that was admitted but not sent to any server."""
         del self._requests[request.admission_id]
-        return self._reject(request.admit, status, reason, retry_after_ms)
+        self._return_token(request)
+        return self._reject(
+            request.admit, status, reason, retry_after_ms, details
+        )
+
+    def _return_token(self, request: _Request) -> None:
+        """Return the token of a request that ended without being run."""
+        token, request.token = request.token, None
+        if token is not None and not request.may_have_run:
+            self._quotas.give_back(token)
 
     def _defer(self, request: _Request) -> messages.Waiting:
         """Let the caller's thread wait until `_resume` decides."""
-        request.reply = deferred.Deferred()
+        if request.reply is None:
+            request.reply = deferred.Deferred()
         return messages.Waiting(
             request.admission_id, request.reply, request.deadline_at_ms
         )
@@ -247,6 +337,9 @@
         if request is not None and request.attempt is not None:
             # A server was assigned while the message was on its way.
             self._servers.record_result(request.attempt, outcomes.CallerLeft())
+        if request is not None:
+            self._quotas.withdraw(admission_id, request.workspace)
+            self._return_token(request)
 
     def _reject(
         self,
@@ -254,6 +347,7 @@
         status: int,
         reason: str,
         retry_after_ms: int | None = None,
+        details: dict[str, Any] | None = None,
     ) -> messages.Rejected:
         self._counters[f'rejected.{status}'] += 1
         log.info(
@@ -263,6 +357,7 @@
                 'status': status,
                 'reason': reason,
                 'configuration': self._routes and self._routes.version,
+                **(details or {}),
             },
         )
         return messages.Rejected(status, reason, retry_after_ms)
@@ -368,6 +463,7 @@
             },
         )
         del self._requests[admission_id]
+        self._return_token(request)
         return messages.NoRetry(reason, retry_after_ms)
 
     def _no_retry_reason(
@@ -410,6 +506,7 @@
                 server_connection.close()
             return
         self._record_result(request, result)
+        self._return_token(request)
         if server_connection is not None and request.attempt is not None:
             self._servers.keep_connection(
                 request.attempt.view.server.incarnation, server_connection
@@ -421,6 +518,7 @@
         """Record the result of the last attempt of a request."""
         if request.attempt is None:
             return
+        request.may_have_run |= outcomes.may_have_run(result)
         self._counters[f'results.{type(result).__name__}'] += 1
         match result:
             case outcomes.Answered(_, latency_ms):
--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -23,6 +23,7 @@
         self.revision = 0
         self._configuration: model.Configuration | None = None
         self._new_routes: routes.RouteTable | None = None
+        self._has_quotas = False
         self._servers: registry.Registry[model.BackendServer] = (
             registry.Registry()
         )
@@ -40,6 +41,11 @@
         """Return whether requests can be served with this state."""
         return self._configuration is not None and not self.is_empty
 
+    @property
+    def has_quotas(self) -> bool:
+        """Return whether any workspace of the configuration has a quota."""
+        return self._has_quotas
+
     def items(self) -> tuple[store.Item, ...]:
         """Return the store items as received, for sending to other hosts."""
         return tuple(self._items.values())
@@ -144,6 +150,10 @@
                 if current is None or decoded.version > current.version:
                     self._configuration = decoded
                     self._new_routes = routes.build(decoded)
+                    self._has_quotas = any(
+                        workspace.quota is not None
+                        for workspace in decoded.workspaces or ()
+                    )
 
     def _apply_server(
         self, name: str, event: store.Event, now_ms: int
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -120,6 +120,8 @@
                 | messages.LeavingObserved()
             ):
                 self._send_report(message)
+            case messages.SendDatagrams(sends):
+                self._send_all(list(sends))
             case messages.FlushReports():
                 self._is_flush_scheduled = False
                 self._pass_on_reports()
@@ -141,6 +143,7 @@
         if self._state.expire(now_ms):
             self._send_updates()
         self._update_store_reading()
+        self._send_hosts()
         if self._freshness.is_stale(now_ms):
             self._request_view(now_ms)
         if self._is_reading and self._freshness.was_confirmed:
@@ -204,6 +207,16 @@
                 self._handle_view_part(received, now_ms)
             case protocol.ServerReports():
                 self._receive_reports(received)
+            case (
+                protocol.QuotaQuestions()
+                | protocol.QuotaAnswers()
+                | protocol.LendingRequest()
+                | protocol.LendingConsent()
+            ):
+                if self._tasks is not None:
+                    self._tasks.dispatcher.tell(
+                        messages.QuotaDatagram(sender, received)
+                    )
             case _:
                 log.warning(
                     'unexpected datagram ignored',
@@ -523,6 +536,7 @@
         if update != self._last_update:
             self._last_update = update
             self._tasks.dispatcher.tell(update)
+        self._send_hosts()
         if self._is_stopping:
             return
         if self._is_ready():
@@ -530,6 +544,18 @@
         if self._state.pop_host_removal(self._settings.name):
             self._tasks.registrar.tell(messages.RegistrationLost())
 
+    def _send_hosts(self) -> None:
+        """Tell the dispatcher which hosts there are, if quotas need it."""
+        if self._tasks is None or not self._state.has_quotas:
+            return
+        now_ms = self._time.now_ms()
+        age_ms = self._freshness.known_age_ms(now_ms)
+        self._tasks.dispatcher.tell(
+            messages.HostsSeen(
+                self._hosts, None if age_ms is None else now_ms - age_ms
+            )
+        )
+
     def _set_hosts(self, hosts: tuple[model.EntryHost, ...]) -> None:
         self._hosts = hosts
         self._peers.set_registered(hosts, self._time.now_ms())
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -8,6 +8,7 @@
 
 from cardamomdeal.backend import connection
 from cardamomdeal.balancing import outcomes
+from cardamomdeal.channels import datagrams
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import routes
 from cardamomdeal.internal import address
@@ -218,6 +219,43 @@
     reports: tuple[PeerReport, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostsSeen:
+    """Entry hosts, and when the view that shows them was confirmed."""
+
+    hosts: tuple[model.EntryHost, ...]
+    # None if it never was.
+    confirmed_at_ms: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaDatagram:
+    """Message of another host on the lending of quota tokens."""
+
+    sender: address.Address
+    message: protocol.QuotaMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendDatagrams:
+    """Order to send messages to other hosts."""
+
+    sends: tuple[datagrams.SendTo, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlushQuotas:
+    """Reminder to send the questions of a moment together."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WakeQuotas:
+    """Reminder that a token or an answer is due."""
+
+
+QuotaEvent = HostsSeen | QuotaDatagram | FlushQuotas | WakeQuotas
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FlushReports:
     """Reminder to pass on the reports of other hosts."""
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -1,5 +1,6 @@
 """Messages of the inner protocol, between the fleet's processes."""
 
+from typing import Annotated
 from typing import Literal
 
 import msgspec
@@ -344,6 +345,99 @@
     is_relayed: bool = False
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+# No fleet runs for longer than 300 years.
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**13)]
+WorkspaceNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class QuotaQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens that a host needs now, and would like for later requests."""
+
+    workspace: WorkspaceNumber
+    need: Count
+    ahead: Count
+
+
+class QuotaReturn(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens of a loan that were not used."""
+
+    workspace: WorkspaceNumber
+    counted_until_ms: Milliseconds
+    tokens: Count
+
+
+class QuotaQuestions(
+    Message,
+    frozen=True,
+    tag='Qq',
+    rename={
+        'session': 's',
+        'sequence': 'n',
+        'questions': 'q',
+        'returned': 'r',
+    },
+):
+    """Questions of a host to the lender of some workspaces' tokens."""
+
+    # Differs after each start of the host.
+    session: Count
+    # Rises within a session, so that a copy can be told.
+    sequence: Milliseconds
+    questions: tuple[QuotaQuestion, ...] = ()
+    returned: tuple[QuotaReturn, ...] = ()
+
+
+class QuotaLoan(msgspec.Struct, frozen=True, array_like=True, tag='L'):
+    """Tokens that were lent, and when there are more if these were few."""
+
+    workspace: WorkspaceNumber
+    tokens: Count
+    wait_ms: Milliseconds
+    lapse_ms: Milliseconds
+    # Names the loan; a time of the lender's clock.
+    counted_until_ms: Milliseconds
+    due_in_ms: Milliseconds | None
+    spread_ms: Milliseconds
+
+
+class QuotaElsewhere(msgspec.Struct, frozen=True, array_like=True, tag='X'):
+    """The host does not lend the workspace's tokens."""
+
+    workspace: WorkspaceNumber
+
+
+class QuotaAnswers(
+    Message,
+    frozen=True,
+    tag='Qa',
+    rename={'session': 's', 'sequence': 'n', 'answers': 'a'},
+):
+    """Answers to questions of one message."""
+
+    session: Count
+    sequence: Milliseconds
+    answers: tuple[QuotaLoan | QuotaElsewhere, ...]
+
+
+class LendingRequest(Message, frozen=True, tag='Lr'):
+    """Request not to lend where the asking host goes before."""
+
+    host: str
+    asked_at_ms: Milliseconds
+    # A probe only finds out how much of the fleet the host reaches.
+    is_probe: bool = False
+
+
+class LendingConsent(Message, frozen=True, tag='Lc'):
+    """Promise to a host that has asked for it, for a fixed time."""
+
+    asked_at_ms: Milliseconds
+    consent: Literal['yields', 'retired', 'none']
+
+
+QuotaMessage = QuotaQuestions | QuotaAnswers | LendingRequest | LendingConsent
+
 AnyMessage = (
     GatewayReport
     | ServerStates
@@ -371,4 +465,8 @@
     | ViewRequest
     | ViewPart
     | ServerReports
+    | QuotaQuestions
+    | QuotaAnswers
+    | LendingRequest
+    | LendingConsent
 )
