--- a/src/cardamomdeal/entry/quota_keeper.py
+++ b/src/cardamomdeal/entry/quota_keeper.py
@@ -22,7 +22,7 @@
 # A view that was confirmed within this time shows which hosts are present.
 FRESH_VIEW_MS = freshness.STALE_MS
 # Probes are sent before a view is too old, so that their answers are there.
-PROBE_VIEW_AGE_MS = 600
+PROBE_VIEW_AGE_MS = 900
 # The first question about a workspace waits this long for consents.
 CONSENT_WAIT_MS = 40
 CONSENT_RETRY_MS = 100
--- a/src/cardamomdeal/workspaces/token_holder.py
+++ b/src/cardamomdeal/workspaces/token_holder.py
@@ -200,7 +200,8 @@
         """Return what to ask for now, if anything."""
         held = self.held
         need = max(0, len(self._waiting) - held - self._asked_need)
-        spare = held - len(self._waiting) + self._asked_ahead
+        asked = self._asked_need + need + self._asked_ahead
+        spare = held + asked - len(self._waiting)
         target = self._ahead_target(now_ms)
         ahead = max(0, target - spare) if spare <= target / 2 else 0
         if self._is_exhausted(now_ms) or now_ms < self._unreachable_until_ms:
--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -36,6 +36,10 @@
     quota_overage=0.1,
     quota_slack=20.0,
 )
+HOSTS = 40
+WORKSPACES = 16
+FAULTS_MS = 30_000
+SEEDS = range(4)
 CONFIRMATION_INTERVAL_MS = 300
 # An entry of the store lapses between these times after its host was cut off.
 LEASE_MS = (2_700, 4_000)
@@ -97,6 +101,11 @@
         )
         self.keeper.set_workspaces(self.fleet.workspaces)
 
+    @property
+    def lends(self):
+        """Return whether tokens of this host are out."""
+        return self.keeper.outstanding_tokens > 0
+
     def see(self, hosts, confirmed_at_ms):
         """Take over a view of the hosts."""
         self.view = hosts
@@ -206,6 +215,7 @@
     def send(self, sender, to, message):
         """Carry a message, perhaps twice or not at all."""
         self.sent['messages'] += 1
+        self.sent[type(message).__name__] += 1
         self.sent['bytes'] += len(codec.encode_compressed(message))
         recipient = self.hosts[to.port]
         copies = 1 + (self.rng.random() < self.network.copies)
@@ -414,6 +424,78 @@
     return [workspace(name, d) for name, d in demands.items()], demands
 
 
+class Faults:
+    """Schedule of faults that starts one every few hundred milliseconds."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.rng = fleet.rng
+        self.kinds = (
+            self.stop_ten,
+            self.kill_one,
+            self.kill_a_lender,
+            self.herd_kill,
+            self.freeze,
+            self.cut_one,
+            self.split,
+            self.add_hosts,
+            self.store_outage,
+        )
+
+    def schedule(self, duration_ms):
+        """Start faults at random times."""
+        start_ms = self.fleet.clock.now_ms()
+        at_ms = start_ms
+        while True:
+            at_ms += self.rng.uniform(200, 2_000)
+            if at_ms >= start_ms + duration_ms:
+                return
+            self.fleet.at(at_ms, self.rng.choice(self.kinds))
+
+    def some(self, count):
+        """Return hosts that are up."""
+        up = [host for host in self.fleet.hosts if host.is_up]
+        return self.rng.sample(up, min(count, len(up)))
+
+    def stop_ten(self):
+        for host in self.some(10):
+            self.fleet.stop(host)
+
+    def kill_one(self):
+        for host in self.some(1):
+            self.fleet.kill(host, self.rng.choice((700, 1_500, 8_000)))
+
+    def kill_a_lender(self):
+        lending = [host for host in self.some(200) if host.lends]
+        if lending:
+            self.fleet.kill(self.rng.choice(lending), 1_500)
+
+    def herd_kill(self):
+        for host in self.some(len(self.fleet.hosts) // 3):
+            self.fleet.kill(host, self.rng.uniform(500, 1_500))
+
+    def freeze(self):
+        for host in self.some(2):
+            self.fleet.pause(host, self.rng.choice((100, 900, 4_000)))
+
+    def cut_one(self):
+        self.fleet.cut(self.some(1), self.rng.choice((800, 3_000, 9_000)))
+
+    def split(self):
+        count = round(len(self.fleet.hosts) * self.rng.uniform(0.1, 0.5))
+        self.fleet.cut(self.some(count), self.rng.choice((800, 6_000)))
+
+    def add_hosts(self):
+        self.fleet.add(5)
+
+    def store_outage(self):
+        self.fleet.is_store_up = False
+        self.fleet.after(
+            self.rng.choice((800, 6_000)),
+            lambda: setattr(self.fleet, 'is_store_up', True),
+        )
+
+
 class QuotaTest(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -484,3 +566,18 @@
         self.assertGreater(len(fleet.refused['hot']), 1_000)
         for share in shares.values():
             self.assertLessEqual(share, 0.01)
+
+    def test_quotas_hold_through_restarts_cuts_and_losses(self):
+        """Hosts restart by tens, join, die, freeze and are cut off."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = self.fleet(
+                    HOSTS, WORKSPACES, seed, network=Network(0.02, 0.02)
+                )
+                self.load_all(fleet, FAULTS_MS)
+                for name in list(self.demands)[:3]:
+                    fleet.load(name, 8 * self.demands[name], FAULTS_MS)
+                Faults(fleet).schedule(FAULTS_MS)
+                fleet.run(FAULTS_MS + 2_000)
+                self.report(fleet, f'faults, seed {seed}', FAULTS_MS)
+                self.assert_within_bounds(fleet)
