--- a/src/cardamomdeal/entry/quota_keeper.py
+++ b/src/cardamomdeal/entry/quota_keeper.py
@@ -311,16 +311,12 @@
                     for answer in answers:
                         self._receive_answer(sequence, answer, now_ms)
             case protocol.LendingRequest(host, asked_at_ms, is_probe):
-                consent = 'none'
+                answer = protocol.LendingConsent(asked_at_ms, 'none')
                 if not is_probe:
-                    consent = self._lenders.consent(
-                        host, self._is_stopping, now_ms
-                    ).value
-                self._send(
-                    sender, protocol.LendingConsent(asked_at_ms, consent)
-                )
-            case protocol.LendingConsent(asked_at_ms, consent):
-                self._receive_consent(sender, asked_at_ms, consent, now_ms)
+                    answer = self._consent(host, asked_at_ms, now_ms)
+                self._send(sender, answer)
+            case protocol.LendingConsent():
+                self._receive_consent(sender, message, now_ms)
 
     @property
     def outstanding_tokens(self) -> int:
@@ -384,7 +380,6 @@
             role = self._lenders.role(question.workspace, now_ms)
         match role:
             case lenders.Elsewhere():
-                self._lender.forget(question.workspace)
                 self._send_answer(
                     asked, protocol.QuotaElsewhere(question.workspace), now_ms
                 )
@@ -479,23 +474,40 @@
                     # Neither lends yet; asked again when that is due.
                     self._asked[key] = asked
 
+    def _consent(
+        self, host: str, asked_at_ms: int, now_ms: int
+    ) -> protocol.LendingConsent:
+        """Promise a host not to lend, and hand over what is left."""
+        consent = self._lenders.consent(host, self._is_stopping, now_ms)
+        handed_over = [
+            (number, self._lender.hand_over(number, now_ms))
+            for number in self._lender.numbers()
+            if self._lenders.succeeds(host, number, now_ms)
+        ]
+        return protocol.LendingConsent(
+            asked_at_ms,
+            consent.value,
+            tuple(entry for entry in handed_over if entry[1]),
+        )
+
     def _receive_consent(
         self,
         sender: address.Address,
-        asked_at_ms: int,
-        consent: str,
+        message: protocol.LendingConsent,
         now_ms: int,
     ) -> None:
         name = self._names.get(sender)
         if name is None:
             return
-        self._reachability.record_answer(name, asked_at_ms)
-        if consent == 'none':
+        self._reachability.record_answer(name, message.asked_at_ms)
+        if message.consent == 'none':
             return
         self._consents_asked.pop(name, None)
         self._lenders.record_consent(
-            name, lenders.Consent(consent), asked_at_ms
+            name, lenders.Consent(message.consent), message.asked_at_ms
         )
+        for number, tokens in message.tokens:
+            self._lender.accept(number, tokens, now_ms)
         held, self._held = self._held, []
         for entry in held:
             self._answer(entry, now_ms)
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -434,6 +434,8 @@
 
     asked_at_ms: Milliseconds
     consent: Literal['yields', 'retired', 'none']
+    # What is left of the tokens that the asking host lends from now on.
+    tokens: tuple[tuple[WorkspaceNumber, Count], ...] = ()
 
 
 QuotaMessage = QuotaQuestions | QuotaAnswers | LendingRequest | LendingConsent
--- a/src/cardamomdeal/workspaces/lenders.py
+++ b/src/cardamomdeal/workspaces/lenders.py
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Starting:
-    """A process before this one may have promised not to lend."""
+    """This host, or a process before it, may have promised not to lend."""
 
     remaining_ms: int
 
@@ -69,7 +69,8 @@
 
     def __init__(self, name: str, started_ms: int) -> None:
         self._name = name
-        self._may_lend_from_ms = started_ms + CONSENT_MS
+        self._started_ms = started_ms
+        self._retired_until_ms = 0
         self._present: frozenset[str] = frozenset()
         # Hosts that joined or left, and when.
         self._changed_at_ms: dict[str, int] = {}
@@ -121,11 +122,15 @@
         return self._role(number, now_ms)
 
     def _role(self, number: int, now_ms: int) -> Role:
-        if now_ms < self._may_lend_from_ms:
-            return Starting(self._may_lend_from_ms - now_ms)
         ranked = self._rank(number)
         if self._name not in self._present or self._name not in ranked:
             return Elsewhere()
+        if now_ms < self._retired_until_ms:
+            return Starting(self._retired_until_ms - now_ms)
+        # Promises of an earlier process bind towards hosts that go before.
+        may_lend_from_ms = self._started_ms + CONSENT_MS
+        if now_ms < may_lend_from_ms and ranked[0] != self._name:
+            return Starting(may_lend_from_ms - now_ms)
         if self._has_yielded(number, now_ms):
             return Elsewhere()
         index = ranked.index(self._name)
@@ -162,7 +167,7 @@
         """Promise a host not to lend, and return what was promised."""
         until_ms = now_ms + CONSENT_MS
         if is_stopping or self._name not in self._present:
-            self._may_lend_from_ms = max(self._may_lend_from_ms, until_ms)
+            self._retired_until_ms = until_ms
             return Consent.RETIRED
         self._promised_until_ms[asking] = until_ms
         return Consent.YIELDS
@@ -176,6 +181,13 @@
         if known is None or known.until_ms < until_ms:
             self._received[name] = _Received(consent, until_ms)
 
+    def succeeds(self, name: str, number: int, now_ms: int) -> bool:
+        """Return whether a host that asks for consent lends from now on."""
+        if self._name not in self._present:
+            return self.candidates(number, now_ms)[:1] == (name,)
+        group = number % GROUPS
+        return _score(group, name) > _score(group, self._name)
+
     def _consent_of(self, name: str, now_ms: int) -> Consent | None:
         received = self._received.get(name)
         if received is None or received.until_ms <= now_ms:
@@ -192,7 +204,7 @@
 
     def _since_ms(self, names: Iterable[str]) -> int:
         """Return since when no other host has lent."""
-        times_ms = [self._may_lend_from_ms]
+        times_ms = [self._started_ms, self._retired_until_ms]
         for name in names:
             times_ms.append(self._changed_at_ms.get(name, 0))
             times_ms.append(self._promised_until_ms.get(name, 0))
--- a/src/cardamomdeal/workspaces/quotas.py
+++ b/src/cardamomdeal/workspaces/quotas.py
@@ -17,6 +17,8 @@
 # Those denied in this time are expected to return together.
 DENIED_SPAN_MS = 1_000
 MAX_DENIED = 10_000
+# What a host has left is handed over if it has lent within this time.
+MAX_HAND_OVER_AGE_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +102,20 @@
             missing, 1
         )
 
+    def tokens_to_hand_over(self, now_ms: int) -> int:
+        """Return the tokens for the host that lends from now on."""
+        if now_ms - self._at_ms > MAX_HAND_OVER_AGE_MS:
+            # Others may have lent since.
+            return 0
+        return math.floor(max(0.0, self._tokens))
+
+    def add_handed_over(self, tokens: int, at_ms: int, now_ms: int) -> None:
+        """Add what the host that lent before had left at a time."""
+        earned = max(0, now_ms - at_ms) * self._limit.rate_per_ms
+        self._tokens = max(
+            self._tokens, min(self._limit.capacity, tokens + earned)
+        )
+
     def set_limit(self, limit: allowance.Allowance) -> None:
         """Replace the limit; a higher burst is usable at once."""
         added = max(0.0, limit.capacity - self._limit.capacity)
@@ -198,6 +214,8 @@
 
     def __init__(self) -> None:
         self._buckets: dict[int, Bucket] = {}
+        # Tokens from the hosts that lent before, and when they came.
+        self._handed_over: dict[int, tuple[int, int]] = {}
 
     def numbers(self) -> tuple[int, ...]:
         """Return the workspaces that have a bucket."""
@@ -215,6 +233,9 @@
         bucket = self._buckets.get(limit.number)
         if bucket is None:
             bucket = Bucket(limit, standing, now_ms)
+            handed_over = self._handed_over.pop(limit.number, None)
+            if handed_over is not None:
+                bucket.add_handed_over(*handed_over, now_ms)
             self._buckets[limit.number] = bucket
         bucket.set_limit(limit)
         return bucket.lend(need, ahead, standing, now_ms)
@@ -227,15 +248,24 @@
         if bucket is not None:
             bucket.take_back(counted_until_ms, tokens)
 
-    def forget(self, number: int) -> None:
-        """Drop the bucket of a workspace that another host lends."""
-        self._buckets.pop(number, None)
+    def hand_over(self, number: int, now_ms: int) -> int:
+        """Drop a bucket and return its tokens, for the next lender."""
+        bucket = self._buckets.pop(number, None)
+        return bucket.tokens_to_hand_over(now_ms) if bucket else 0
+
+    def accept(self, number: int, tokens: int, now_ms: int) -> None:
+        """Take over the tokens of the host that lent before."""
+        if number not in self._buckets:
+            self._handed_over[number] = (tokens, now_ms)
 
     def drop_full(self, now_ms: int) -> None:
         """Drop the buckets that a new one would equal."""
         for number, bucket in list(self._buckets.items()):
             if bucket.is_full(now_ms):
                 del self._buckets[number]
+        for number, (_, at_ms) in list(self._handed_over.items()):
+            if now_ms - at_ms > MAX_HAND_OVER_AGE_MS:
+                del self._handed_over[number]
 
     def lent_count(self) -> int:
         """Return the tokens that count as used, of all workspaces."""
--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -284,7 +284,11 @@
         if self.side.get(host.number) is None:
             self.register(host)
         host.start()
-        host.see(host.view, None)
+        if self.is_store_up and self.side.get(host.number) is None:
+            # It takes requests when it has read the store.
+            host.view = ()
+        else:
+            host.see(host.view, None)
 
     def stop(self, host, down_ms=3_500):
         """Stop a host as planned, and start it again."""
@@ -342,7 +346,7 @@
 
     def request(self, name, hosts=None):
         """Send a request to a host that is up."""
-        up = [host for host in hosts or self.hosts if host.is_up]
+        up = [h for h in hosts or self.hosts if h.is_up and h.view]
         if not up:
             return
         host = self.rng.choice(up)
