Lend less where a split may leave lenders on both sides

Change: a host whose fresh view has shrunk below half, or whose probes do not all answer, lends as one of two; below 0.15 and 0.7 it does not lend.

--- a/src/cardamomdeal/entry/quota_keeper.py
+++ b/src/cardamomdeal/entry/quota_keeper.py
@@ -113,10 +113,6 @@
         self._names: dict[address.Address, str] = {}
         self._left_addresses: dict[str, address.Address] = {}
         self._sorted_names: tuple[str, ...] = ()
-        # Times and numbers of hosts; the first one is the window's maximum.
-        self._host_counts: collections.deque[tuple[int, int]] = (
-            collections.deque()
-        )
         self._view_confirmed_at_ms: int | None = None
         self._lenders = lenders.Lenders(settings.name, started_ms)
         self._lender = quotas.Lender()
@@ -180,9 +176,7 @@
             for name, peer in (self._left_addresses | self._addresses).items()
         }
         self._sorted_names = tuple(sorted(self._addresses))
-        while self._host_counts and self._host_counts[-1][1] <= len(hosts):
-            self._host_counts.pop()
-        self._host_counts.append((now_ms, len(hosts)))
+        self._reachability.record_hosts(len(hosts), now_ms)
 
     def stop(self) -> None:
         """Lend no more tokens, as this host is stopping."""
@@ -376,8 +370,8 @@
         workspace = self._workspaces.get(question.workspace)
         limit = workspace and allowance.allowance(workspace, self._bounds)
         role: lenders.Role = lenders.Elsewhere()
-        if limit is not None and self._may_lend(now_ms):
-            role = self._lenders.role(question.workspace, now_ms)
+        if limit is not None:
+            role = self._role(question.workspace, now_ms)
         match role:
             case lenders.Elsewhere():
                 self._send_answer(
@@ -514,19 +508,29 @@
 
     # Lending.
 
-    def _may_lend(self, now_ms: int) -> bool:
-        """Return whether this host can tell which hosts there are.
-
-        A host on the smaller side of a split would lend beside the one that
-        takes its place on the other side.
-        """
-        if self._is_stopping:
-            return False
+    def _reach(self, now_ms: int) -> reachability.Reach:
+        """Return how much of the fleet this host sees."""
         age_ms = self._view_age_ms(now_ms)
         if age_ms is not None and age_ms <= FRESH_VIEW_MS:
-            return True
-        others = len(self._addresses.keys() - {self._name})
-        return not others or self._reachability.sees_most(now_ms)
+            return self._reachability.by_view(now_ms)
+        if self._addresses.keys() == {self._name}:
+            return self._reachability.by_view(now_ms)
+        return self._reachability.by_probes(now_ms)
+
+    def _role(self, number: int, now_ms: int) -> lenders.Role:
+        """Return whether this host lends, as far as it sees the fleet."""
+        if self._is_stopping:
+            return lenders.Elsewhere()
+        reach = self._reach(now_ms)
+        if reach is reachability.Reach.LITTLE:
+            return lenders.Elsewhere()
+        role = self._lenders.role(number, now_ms)
+        match role:
+            case lenders.Lending(quotas.Undisputed(since_ms)) if (
+                reach is reachability.Reach.SOME
+            ):
+                return lenders.Lending(quotas.Disputed(since_ms, True), ())
+        return role
 
     def _view_age_ms(self, now_ms: int) -> int | None:
         if self._view_confirmed_at_ms is None:
@@ -622,16 +626,10 @@
         """Return what this host may run in a window without a lender."""
         if self._name not in self._addresses:
             return 0
-        oldest_ms = now_ms - limit.window_ms
-        while len(self._host_counts) > 1 and (
-            # The number held until the next one was seen.
-            self._host_counts[1][0] <= oldest_ms
-        ):
-            self._host_counts.popleft()
         return allowance.fallback_tokens(
             limit,
             self._sorted_names.index(self._name),
-            self._host_counts[0][1],
+            self._reachability.most_hosts(now_ms),
         )
 
     def _decide(self, decided: list[Decided], hand: token_holder.Hand) -> None:
--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -39,7 +39,9 @@
 HOSTS = 40
 WORKSPACES = 16
 FAULTS_MS = 30_000
-SEEDS = range(4)
+# Seeds and how many times its usual demand each workspace sends.
+SEEDS = {0: 1, 101: 4, 103: 4}
+CONFIG_APPLY_MS = 2_500
 CONFIRMATION_INTERVAL_MS = 300
 # An entry of the store lapses between these times after its host was cut off.
 LEASE_MS = (2_700, 4_000)
@@ -573,15 +575,105 @@
 
     def test_quotas_hold_through_restarts_cuts_and_losses(self):
         """Hosts restart by tens, join, die, freeze and are cut off."""
-        for seed in SEEDS:
+        for seed, demand in SEEDS.items():
             with self.subTest(seed=seed):
                 fleet = self.fleet(
                     HOSTS, WORKSPACES, seed, network=Network(0.02, 0.02)
                 )
-                self.load_all(fleet, FAULTS_MS)
-                for name in list(self.demands)[:3]:
-                    fleet.load(name, 8 * self.demands[name], FAULTS_MS)
+                for name, usual in self.demands.items():
+                    fleet.load(name, demand * usual, FAULTS_MS)
                 Faults(fleet).schedule(FAULTS_MS)
                 fleet.run(FAULTS_MS + 2_000)
-                self.report(fleet, f'faults, seed {seed}', FAULTS_MS)
+                self.report(
+                    fleet, f'faults, {demand} x, seed {seed}', FAULTS_MS
+                )
                 self.assert_within_bounds(fleet)
+
+    def hot_fleet(self, seed, duration_ms=20_000):
+        """Return a fleet whose workspaces all send too much."""
+        fleet = self.fleet(HOSTS, WORKSPACES, seed)
+        for name, demand in self.demands.items():
+            fleet.load(name, 4 * demand, duration_ms)
+        fleet.run(3_000)
+        return fleet
+
+    def test_quotas_hold_in_a_split_that_lasts(self):
+        """Each side has hosts that think they lend."""
+        for cut_off in (10, 20, 30):
+            with self.subTest(cut_off=cut_off):
+                fleet = self.hot_fleet(seed=cut_off)
+                fleet.cut(fleet.hosts[:cut_off], 12_000)
+                fleet.run(17_000)
+                self.report(fleet, f'split, {cut_off} of {HOSTS}', 22_000)
+                self.assert_within_bounds(fleet)
+
+    def test_quotas_hold_in_a_split_while_the_store_is_away(self):
+        """No view tells which side is the larger one."""
+        for cut_off in (10, 20):
+            with self.subTest(cut_off=cut_off):
+                fleet = self.hot_fleet(seed=cut_off)
+                fleet.is_store_up = False
+                fleet.run(2_000)
+                fleet.cut(fleet.hosts[:cut_off], 10_000)
+                fleet.run(15_000)
+                self.report(fleet, f'no store, {cut_off} cut off', 22_000)
+                self.assert_within_bounds(fleet)
+
+    def test_quotas_hold_while_each_lender_dies_in_turn(self):
+        """The next lender cannot know what is out."""
+        fleet = self.hot_fleet(seed=6)
+        faults = Faults(fleet)
+        for _ in range(30):
+            faults.kill_a_lender()
+            fleet.run(500)
+        self.report(fleet, 'lenders die', 20_000)
+        self.assert_within_bounds(fleet)
+
+    def test_outage_of_the_store_refuses_nothing_below_the_limit(self):
+        fleet = self.fleet(HOSTS, WORKSPACES, seed=7)
+        fleet.is_store_up = False
+        self.load_all(fleet, 15_000)
+        fleet.run(16_000)
+        for share in self.report(fleet, 'store away', 18_000).values():
+            self.assertLessEqual(share, MAX_REFUSED_IN_CALM)
+
+    def test_lower_limit_binds_and_a_higher_one_is_usable(self):
+        """Hosts learn of the configuration at different times."""
+        fleet = self.fleet(HOSTS, WORKSPACES, seed=8)
+        name, demand = 'large-1', self.demands['large-1']
+        for rate_per_s in (10.0, 60.0):
+            with self.subTest(rate_per_s=rate_per_s):
+                changed = workspace(name, rate_per_s, quota_share=1.0)
+                fleet.by_name[name] = changed
+                for host in fleet.hosts:
+                    fleet.after(
+                        fleet.rng.uniform(0, CONFIG_APPLY_MS),
+                        lambda host=host: host.keeper.set_workspaces(
+                            tuple(fleet.by_name.values())
+                        ),
+                    )
+                fleet.load(name, 100.0, 14_000)
+                fleet.run(CONFIG_APPLY_MS)
+                fleet.used[name].clear()
+                if rate_per_s < demand:
+                    # What ran under the higher limit still counts.
+                    fleet.run(WINDOW_MS)
+                before = len(fleet.used[name])
+                fleet.run(WINDOW_MS)
+                self.assert_within_bounds(fleet)
+                passed = len(fleet.used[name]) - before
+                self.assertGreater(
+                    passed, 0.95 * rate_per_s * WINDOW_MS / 1_000
+                )
+
+    def test_nothing_is_sent_or_kept_without_quotas(self):
+        """Earlier deployments must cost what they did."""
+        unlimited = workspace_model.Workspace('w', (), 3, None)
+        fleet = Fleet(3, [unlimited], seed=9)
+        fleet.run(5_000)
+        for host in fleet.hosts:
+            now_ms = fleet.clock.now_ms()
+            self.assertIsNone(host.keeper.request(1, unlimited, now_ms))
+            self.assertIsNone(host.keeper.next_event_at_ms())
+            self.assertEqual({}, host.keeper.metrics())
+        self.assertFalse(fleet.sent)
--- /dev/null
+++ b/tests/unit/test_quota_gate.py
@@ -0,0 +1,225 @@
+"""The dispatcher holds requests to the quotas of their workspaces."""
+
+import hashlib
+import logging
+import unittest
+from unittest import mock
+
+from cardamomdeal.balancing import outcomes
+from cardamomdeal.entry import dispatcher
+from cardamomdeal.entry import messages
+from cardamomdeal.fleet import model
+from cardamomdeal.fleet import routes
+from cardamomdeal.internal import address
+from cardamomdeal.internal import clock
+from cardamomdeal.protocol import messages as protocol
+from cardamomdeal.settings import model as settings_model
+from cardamomdeal.workspaces import allowance
+from cardamomdeal.workspaces import lenders
+from cardamomdeal.workspaces import model as workspace_model
+from tests.unit import test_quotas
+
+KEY = hashlib.sha256(b'key').digest()
+LIMITS = model.Limits(16_384, 1_000, 3_000, 15_000)
+LOAD = outcomes.Load(1, 0, 3)
+
+
+def host(name, number):
+    return model.EntryHost(
+        name,
+        1,
+        'r',
+        'z',
+        address.Address('10.0.0.1', number),
+        address.Address('10.0.0.2', number),
+        0.0,
+    )
+
+
+class QuotaGateTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.clock = clock.ManualClock(1_000_000)
+        self.synchronizer = mock.Mock()
+        self.own = host('h-0', 1)
+        settings = mock.Mock(
+            bounds=test_quotas.BOUNDS,
+            peers=self.own.peers,
+            place=settings_model.Place('h-0', 'r', 'z'),
+        )
+        settings.name = 'h-0'
+        self.dispatcher = dispatcher.Dispatcher(
+            settings, self.synchronizer, self.clock, mock.Mock()
+        )
+        self.addCleanup(self.dispatcher.on_stop)
+        self.configure(workspace_model.Quota(1.0, 2.0))
+        server = model.BackendServer(
+            'i-1',
+            1,
+            's',
+            address.Address('10.0.0.3', 1),
+            'z',
+            3,
+            model.ServerState.READY,
+            0,
+        )
+        self.send(messages.ServersUpdated((server,), 1))
+        self.see(self.own)
+        self.clock.advance(60_000)
+        self.see(self.own)
+
+    def configure(self, quota):
+        route = model.Route(
+            'r',
+            'a.example',
+            '/',
+            model.NonIdempotent(),
+            None,
+            None,
+            1,
+            1,
+            (model.WeightedService('s', 1.0),),
+        )
+        workspace = workspace_model.Workspace('w', (KEY,), None, quota)
+        configuration = model.Configuration(
+            1, (route,), (model.Service('s', 9),), LIMITS, (workspace,)
+        )
+        self.send(messages.RoutesUpdated(routes.build(configuration)))
+
+    def send(self, message):
+        return self.dispatcher.receive(message)
+
+    def see(self, *hosts):
+        self.send(messages.HostsSeen(hosts, self.clock.now_ms()))
+
+    def admit(self):
+        return self.send(
+            messages.Admit(
+                'id',
+                'a.example',
+                '/x',
+                5_000,
+                self.clock.now_ms(),
+                workspace_model.Key(KEY),
+            )
+        )
+
+    def finish(self, decision, result):
+        self.send(messages.Finished(decision.admission_id, result, None))
+
+    def sent(self):
+        """Return the messages that were sent to other hosts."""
+        self.send(messages.FlushQuotas())
+        told = [call.args[0] for call in self.synchronizer.tell.mock_calls]
+        self.synchronizer.tell.reset_mock()
+        return [
+            (send.to[0], send.message)
+            for message in told
+            if isinstance(message, messages.SendDatagrams)
+            for send in message.sends
+        ]
+
+    def test_requests_beyond_the_quota_are_refused(self):
+        for _ in range(2):
+            self.assertIsInstance(self.admit(), messages.Assigned)
+        refused = self.admit()
+        self.assertEqual(429, refused.status)
+        self.assertGreaterEqual(refused.retry_after_ms, 1_000)
+        counters = self.send(messages.GetMetrics()).counters
+        self.assertEqual(2, counters['quota.granted'])
+        self.assertEqual(1, counters['quota.denied.w'])
+
+    def test_request_that_no_server_ran_uses_no_quota(self):
+        """A full server's refusal must not cost the caller its quota."""
+        for result in (
+            outcomes.NotExecuted(503, LOAD, False),
+            outcomes.NotConnected('refused'),
+        ) * 4:
+            decision = self.admit()
+            self.assertIsInstance(decision, messages.Assigned)
+            retried = self.send(messages.Retry(decision.admission_id, result))
+            if isinstance(retried, messages.Assigned):
+                self.finish(retried, result)
+            self.clock.advance(1)
+
+    def test_request_that_may_have_run_uses_its_quota(self):
+        for _ in range(2):
+            self.finish(self.admit(), outcomes.Broken(5, 'reset'))
+        self.assertEqual(429, self.admit().status)
+
+    def test_higher_limit_is_usable_at_once(self):
+        for _ in range(2):
+            self.admit()
+        self.clock.advance(10)
+        self.configure(workspace_model.Quota(1.0, 9.0))
+        for _ in range(7):
+            self.assertIsInstance(self.admit(), messages.Assigned)
+        self.assertEqual(429, self.admit().status)
+
+    def test_workspace_without_a_quota_is_not_limited(self):
+        self.configure(None)
+        for _ in range(50):
+            self.assertIsInstance(self.admit(), messages.Assigned)
+        self.assertEqual([], self.sent())
+        self.assertNotIn(
+            'quota.granted', self.send(messages.GetMetrics()).counters
+        )
+
+    def lender(self):
+        """Return another host that lends the workspace's tokens."""
+        group = allowance.number_of('w')
+        for number in range(2, 60):
+            other = host(f'h-{number}', number)
+            ranking = lenders.Lenders('h-0', 0)
+            ranking.set_hosts(('h-0', other.name), 0)
+            if ranking.candidates(group, 0)[0] == other.name:
+                return other
+        raise AssertionError('no host goes before h-0')
+
+    def test_request_waits_for_the_lender_s_answer(self):
+        lender = self.lender()
+        self.see(self.own, lender)
+        waiting = self.admit()
+        self.assertIsInstance(waiting, messages.Waiting)
+        ((to, asked),) = self.sent()
+        self.assertEqual(lender.peers, to)
+        ((number, need, ahead),) = (
+            (q.workspace, q.need, q.ahead) for q in asked.questions
+        )
+        self.assertEqual((1, 0), (need, ahead))
+        loan = protocol.QuotaLoan(number, 1, 0, 500, 7, None, 0)
+        answer = protocol.QuotaAnswers(asked.session, asked.sequence, (loan,))
+        for _ in range(2):
+            # The second one is a copy.
+            self.send(messages.QuotaDatagram(lender.peers, answer))
+        watcher = mock.Mock()
+        decision = waiting.decision.wait(0, watcher)
+        self.assertIsInstance(decision, messages.Assigned)
+        self.assertIsInstance(self.admit(), messages.Waiting)
+
+    def test_questions_of_a_moment_are_sent_together(self):
+        self.see(self.own, self.lender())
+        waiting = [self.admit() for _ in range(3)]
+        ((_, asked),) = self.sent()
+        self.assertEqual(3, sum(q.need for q in asked.questions))
+        for request in waiting:
+            request.decision.close()
+
+    def test_request_whose_caller_left_returns_its_token(self):
+        lender = self.lender()
+        self.see(self.own, lender)
+        waiting = self.admit()
+        waiting.decision.close()
+        self.send(messages.Withdraw(waiting.admission_id))
+        ((_, asked),) = self.sent()
+        loan = protocol.QuotaLoan(
+            asked.questions[0].workspace, 1, 0, 500, 7, None, 0
+        )
+        self.send(
+            messages.QuotaDatagram(
+                lender.peers,
+                protocol.QuotaAnswers(asked.session, asked.sequence, (loan,)),
+            )
+        )
+        self.assertIsInstance(self.admit(), messages.Assigned)
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -266,20 +266,44 @@
 
 
 class ReachabilityTest(unittest.TestCase):
-    def test_host_on_the_smaller_side_does_not_see_most(self):
-        for reached, is_most in ((8, False), (15, True)):
+    def setUp(self):
+        self.known = reachability.Reachability(random.Random(1))
+        self.names = [f'h-{n}' for n in range(20)]
+
+    def test_probes_tell_the_larger_side_of_a_split(self):
+        for reached, expected in (
+            (8, reachability.Reach.LITTLE),
+            (15, reachability.Reach.SOME),
+            (20, reachability.Reach.MOST),
+        ):
+            with self.subTest(reached=reached):
+                known = reachability.Reachability(random.Random(1))
+                probed = known.next_probes(self.names, 1_000)
+                self.assertEqual((), known.next_probes(self.names, 1_100))
+                for name in probed:
+                    if name in self.names[:reached]:
+                        known.record_answer(name, 1_000)
+                # An answer to an earlier probe tells nothing.
+                known.record_answer('h-19', 500)
+                self.assertIs(expected, known.by_probes(1_010))
+                late_ms = 1_000 + reachability.VALID_MS
+                self.assertIs(
+                    reachability.Reach.LITTLE, known.by_probes(late_ms)
+                )
+
+    def test_view_that_shrinks_shows_the_smaller_side(self):
+        """The entries of hosts behind a cut lapse although they go on."""
+        for left, expected in (
+            (20, reachability.Reach.MOST),
+            (19, reachability.Reach.SOME),
+            (5, reachability.Reach.LITTLE),
+        ):
             known = reachability.Reachability(random.Random(1))
-            names = [f'h-{n}' for n in range(20)]
-            probed = known.next_probes(names, 1_000)
-            self.assertEqual((), known.next_probes(names, 1_100))
-            for name in probed:
-                if name in names[:reached]:
-                    known.record_answer(name, 1_000)
-            # An answer to an earlier probe tells nothing.
-            known.record_answer('h-19', 500)
-            self.assertEqual(is_most, known.sees_most(1_010))
-            late_ms = 1_000 + reachability.VALID_MS
-            self.assertFalse(known.sees_most(late_ms))
+            known.record_hosts(40, 1_000)
+            known.record_hosts(left, 9_000)
+            self.assertIs(expected, known.by_view(9_000))
+            late_ms = 9_000 + reachability.RECENT_MS
+            self.assertIs(reachability.Reach.MOST, known.by_view(late_ms))
 
 
 class HandTest(unittest.TestCase):
