--- a/src/cardamomdeal/workspaces/reachability.py
+++ b/src/cardamomdeal/workspaces/reachability.py
@@ -73,11 +73,10 @@
         ):
             return ()
         self._probed_at_ms = now_ms
-        self._probed = frozenset(
-            self._rng.sample(others, min(PROBED_HOSTS, len(others)))
-        )
+        probed = self._rng.sample(others, min(PROBED_HOSTS, len(others)))
+        self._probed = frozenset(probed)
         self._answered.clear()
-        return tuple(self._probed)
+        return tuple(probed)
 
     def record_answer(self, name: str, asked_at_ms: int) -> None:
         """Record the answer of a host to a probe."""
