--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -207,7 +207,6 @@
         self._retry_budgets[service].record_request(
             now_ms, self._servers.host_count
         )
-        self._servers.record_request(service)
         request = _Request(
             self._next_admission_id,
             admit,
@@ -225,7 +224,7 @@
         outcome = self._quotas.admit(request.admission_id, request.workspace)
         match outcome:
             case None:
-                return self._place(request)
+                return self._place_first(request)
             case token_holder.Asked():
                 return self._defer(request)
             case _:
@@ -243,7 +242,7 @@
         match outcome:
             case token_holder.Granted(token):
                 request.token = token
-                return self._place(request)
+                return self._place_first(request)
             case token_holder.OverLimit(retry_after_ms, lender, age_ms):
                 details |= {'lender': lender, 'age_ms': age_ms, 'tokens': 0}
                 return self._end_unassigned(
@@ -275,6 +274,11 @@
             case decision:
                 self._resume(request, decision)
 
+    def _place_first(self, request: _Request) -> messages.Decision:
+        """Count a request that its service is to run, and place it."""
+        self._servers.record_request(request.service)
+        return self._place(request)
+
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
         now_ms = self._time.now_ms()
--- a/src/cardamomdeal/entry/quota_hosts.py
+++ b/src/cardamomdeal/entry/quota_hosts.py
@@ -35,6 +35,8 @@
         self._left_addresses: dict[str, address.Address] = {}
         self._names: dict[address.Address, str] = {}
         self._sorted_names: tuple[str, ...] = ()
+        # This host's place among them, None if it is not listed.
+        self._index: int | None = None
         self._view_confirmed_at_ms: int | None = None
         self._is_stopping = False
         self._sends: list[datagrams.SendTo] = []
@@ -74,6 +76,11 @@
             for name, peer in (self._left_addresses | addresses).items()
         }
         self._sorted_names = tuple(sorted(addresses))
+        self._index = (
+            self._sorted_names.index(self.name)
+            if self.name in addresses
+            else None
+        )
 
     def name_of(self, peer: address.Address) -> str | None:
         """Return the name of the host with an address, if known."""
@@ -81,10 +88,9 @@
 
     def position(self, now_ms: int) -> tuple[int, int] | None:
         """Return this host's index and the number of hosts, if listed."""
-        if self.name not in self._addresses:
+        if self._index is None:
             return None
-        index = self._sorted_names.index(self.name)
-        return index, self.reachability.most_hosts(now_ms)
+        return self._index, self.reachability.most_hosts(now_ms)
 
     def role(self, number: int, now_ms: int) -> lenders.Role:
         """Return whether this host lends, as far as it sees the fleet."""
