Hand over what a host lent also to one that was cut off meanwhile

What callers would have seen: none yet. Change: the consent carries what its sender has left, is sent again in case it is lost, and counts once; a lender keeps no more than that. LenderTest and the other unit tests pass.

--- a/src/cardamomdeal/entry/quota_lending.py
+++ b/src/cardamomdeal/entry/quota_lending.py
@@ -162,17 +162,23 @@
         consent = self._hosts.lenders.consent(
             request.host, self._hosts.is_stopping, now_ms
         )
-        handed_over = [
-            (number, self._lender.hand_over(number, now_ms))
-            for number in self._lender.numbers()
-            if self._hosts.lenders.succeeds(request.host, number, now_ms)
-        ]
+        handed_over = self._lender.hand_over(
+            lambda number: self._hosts.lenders.succeeds(
+                request.host, number, now_ms
+            ),
+            now_ms,
+        )
         self._hosts.send(
             sender,
             protocol.LendingConsent(
                 request.asked_at_ms,
                 consent.value,
-                tuple(entry for entry in handed_over if entry[1]),
+                tuple(
+                    protocol.QuotaHandOver(
+                        part.number, part.tokens, part.at_ms
+                    )
+                    for part in handed_over
+                ),
             ),
         )
 
@@ -193,8 +199,11 @@
         self._hosts.lenders.record_consent(
             name, lenders.Consent(message.consent), message.asked_at_ms
         )
-        for number, tokens in message.tokens:
-            self._lender.accept(number, tokens, now_ms)
+        for part in message.handed_over:
+            self._lender.take_over(
+                quotas.HandOver(part.workspace, part.tokens, part.at_ms),
+                now_ms,
+            )
         self.answer_waiting(now_ms)
 
     def upkeep(self, now_ms: int) -> None:
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -429,13 +429,21 @@
     is_probe: bool = False
 
 
+class QuotaHandOver(msgspec.Struct, frozen=True, array_like=True):
+    """What is left of the tokens that the asking host lends from now on."""
+
+    workspace: WorkspaceNumber
+    tokens: Count
+    # Names the hand-over; a time of the sender's clock.
+    at_ms: Milliseconds
+
+
 class LendingConsent(Message, frozen=True, tag='Lc'):
     """Promise to a host that has asked for it, for a fixed time."""
 
     asked_at_ms: Milliseconds
     consent: Literal['yields', 'retired', 'none']
-    # What is left of the tokens that the asking host lends from now on.
-    tokens: tuple[tuple[WorkspaceNumber, Count], ...] = ()
+    handed_over: tuple[QuotaHandOver, ...] = ()
 
 
 QuotaMessage = QuotaQuestions | QuotaAnswers | LendingRequest | LendingConsent
--- a/src/cardamomdeal/workspaces/quotas.py
+++ b/src/cardamomdeal/workspaces/quotas.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import math
 
@@ -17,8 +18,8 @@
 # Those denied in this time are expected to return together.
 DENIED_SPAN_MS = 1_000
 MAX_DENIED = 10_000
-# What a host has left is handed over if it has lent within this time.
-MAX_HAND_OVER_AGE_MS = 2_000
+# A hand-over is sent again for this time, as its message may be lost.
+HAND_OVER_REPEAT_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,17 +105,20 @@
 
     def tokens_to_hand_over(self, now_ms: int) -> int:
         """Return the tokens for the host that lends from now on."""
-        if now_ms - self._at_ms > MAX_HAND_OVER_AGE_MS:
-            # Others may have lent since.
-            return 0
-        return math.floor(max(0.0, self._tokens))
+        earned = max(0, now_ms - self._at_ms) * self._limit.rate_per_ms
+        tokens = min(self._limit.capacity, self._tokens + earned)
+        return math.floor(max(0.0, tokens))
 
-    def add_handed_over(self, tokens: int, at_ms: int, now_ms: int) -> None:
-        """Add what the host that lent before had left at a time."""
+    def take_over(self, tokens: int, at_ms: int, now_ms: int) -> None:
+        """Go on with what the host that lent before had left at a time."""
         earned = max(0, now_ms - at_ms) * self._limit.rate_per_ms
-        self._tokens = max(
-            self._tokens, min(self._limit.capacity, tokens + earned)
-        )
+        self._tokens = min(self._limit.capacity, tokens + earned)
+        self._at_ms = now_ms
+
+    def reduce_to(self, tokens: int, now_ms: int) -> None:
+        """Keep no more than another host had left that has lent as well."""
+        self._tokens = min(self._tokens, tokens)
+        self._at_ms = now_ms
 
     def set_limit(self, limit: allowance.Allowance) -> None:
         """Replace the limit; a higher burst is usable at once."""
@@ -209,13 +213,25 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOver:
+    """What a host has left of the tokens that another lends from now on."""
+
+    number: int
+    tokens: int
+    # Names the hand-over; a time of the host that hands over.
+    at_ms: int
+
+
 class Lender:
     """Buckets of the workspaces whose tokens this host lends."""
 
     def __init__(self) -> None:
         self._buckets: dict[int, Bucket] = {}
-        # Tokens from the hosts that lent before, and when they came.
-        self._handed_over: dict[int, tuple[int, int]] = {}
+        # What other hosts had left, and when it came.
+        self._taken_over: dict[int, tuple[HandOver, int]] = {}
+        # Sent again for a while, as the message may be lost.
+        self._handed_over: dict[int, HandOver] = {}
 
     def numbers(self) -> tuple[int, ...]:
         """Return the workspaces that have a bucket."""
@@ -233,9 +249,9 @@
         bucket = self._buckets.get(limit.number)
         if bucket is None:
             bucket = Bucket(limit, standing, now_ms)
-            handed_over = self._handed_over.pop(limit.number, None)
-            if handed_over is not None:
-                bucket.add_handed_over(*handed_over, now_ms)
+            if limit.number in self._taken_over:
+                taken_over, at_ms = self._taken_over[limit.number]
+                bucket.take_over(taken_over.tokens, at_ms, now_ms)
             self._buckets[limit.number] = bucket
         bucket.set_limit(limit)
         return bucket.lend(need, ahead, standing, now_ms)
@@ -248,24 +264,50 @@
         if bucket is not None:
             bucket.take_back(counted_until_ms, tokens)
 
-    def hand_over(self, number: int, now_ms: int) -> int:
-        """Drop a bucket and return its tokens, for the next lender."""
-        bucket = self._buckets.pop(number, None)
-        return bucket.tokens_to_hand_over(now_ms) if bucket else 0
+    def hand_over(
+        self, succeeds: Callable[[int], bool], now_ms: int
+    ) -> tuple[HandOver, ...]:
+        """Drop the buckets of the workspaces that another host lends."""
+        for number, bucket in list(self._buckets.items()):
+            if succeeds(number):
+                del self._buckets[number]
+                self._handed_over[number] = HandOver(
+                    number, bucket.tokens_to_hand_over(now_ms), now_ms
+                )
+        return tuple(
+            handed_over
+            for number, handed_over in self._handed_over.items()
+            if succeeds(number)
+        )
 
-    def accept(self, number: int, tokens: int, now_ms: int) -> None:
-        """Take over the tokens of the host that lent before."""
-        if number not in self._buckets:
-            self._handed_over[number] = (tokens, now_ms)
+    def take_over(self, handed_over: HandOver, now_ms: int) -> None:
+        """Go on with what the host that lent before had left."""
+        number = handed_over.number
+        known = self._taken_over.get(number)
+        if known is not None and known[0] == handed_over:
+            # It was sent again.
+            return
+        self._taken_over[number] = (handed_over, now_ms)
+        bucket = self._buckets.get(number)
+        if bucket is not None:
+            bucket.reduce_to(handed_over.tokens, now_ms)
 
     def drop_full(self, now_ms: int) -> None:
         """Drop the buckets that a new one would equal."""
         for number, bucket in list(self._buckets.items()):
             if bucket.is_full(now_ms):
                 del self._buckets[number]
-        for number, (_, at_ms) in list(self._handed_over.items()):
-            if now_ms - at_ms > MAX_HAND_OVER_AGE_MS:
-                del self._handed_over[number]
+        self._handed_over = {
+            number: handed_over
+            for number, handed_over in self._handed_over.items()
+            if now_ms - handed_over.at_ms <= HAND_OVER_REPEAT_MS
+        }
+        # Kept for longer than it may be sent again.
+        self._taken_over = {
+            number: (handed_over, at_ms)
+            for number, (handed_over, at_ms) in self._taken_over.items()
+            if now_ms - at_ms <= 2 * HAND_OVER_REPEAT_MS
+        }
 
     def lent_count(self) -> int:
         """Return the tokens that count as used, of all workspaces."""
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -166,6 +166,49 @@
             self.assertLessEqual(most, allowed)
 
 
+class LenderTest(unittest.TestCase):
+    """Two hosts that lend one after the other."""
+
+    def setUp(self):
+        self.known = limit(10.0, 50.0)
+        self.old, self.new = quotas.Lender(), quotas.Lender()
+
+    def lend(self, lender, need, now_ms, since_ms=0):
+        loan = lender.lend(
+            self.known, need, 0, quotas.Undisputed(since_ms), now_ms
+        )
+        return loan.lent.tokens if loan.lent else 0
+
+    def hand_over(self, now_ms):
+        for part in self.old.hand_over(lambda _: True, now_ms):
+            self.new.take_over(part, now_ms)
+
+    def test_new_lender_goes_on_with_what_is_left(self):
+        self.lend(self.old, 20, LONG_AGO_MS)
+        self.hand_over(LONG_AGO_MS)
+        # Without the hand-over these would be 3 and 2.
+        self.assertEqual(
+            30 + 2, self.lend(self.new, 99, LONG_AGO_MS, LONG_AGO_MS)
+        )
+        self.assertEqual((), self.old.numbers())
+
+    def test_hand_over_that_is_sent_again_counts_once(self):
+        """The answer to the first request for consent may be lost."""
+        self.lend(self.old, 20, LONG_AGO_MS)
+        for _ in range(2):
+            self.hand_over(LONG_AGO_MS)
+            self.lend(self.new, 20, LONG_AGO_MS, LONG_AGO_MS)
+        self.assertEqual(0, self.lend(self.new, 1, LONG_AGO_MS, LONG_AGO_MS))
+
+    def test_lender_that_was_cut_off_learns_what_another_lent(self):
+        """It had its burst left, and the other one has used it."""
+        self.lend(self.new, 1, LONG_AGO_MS)
+        now_ms = LONG_AGO_MS + 6_000
+        self.lend(self.old, 49, now_ms)
+        self.hand_over(now_ms)
+        self.assertEqual(1 + 2, self.lend(self.new, 99, now_ms))
+
+
 class LendersTest(unittest.TestCase):
     def setUp(self):
         self.now_ms = LONG_AGO_MS
