--- a/src/cardamomdeal/entry/quota_gate.py
+++ b/src/cardamomdeal/entry/quota_gate.py
@@ -12,6 +12,7 @@
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import scheduler
 from cardamomdeal.settings import model as settings_model
+from cardamomdeal.workspaces import keys
 from cardamomdeal.workspaces import model as workspace_model
 from cardamomdeal.workspaces import token_holder
 
@@ -38,6 +39,7 @@
         self._keeper = quota_keeper.QuotaKeeper(
             settings, random.Random(), time.now_ms()
         )
+        self._workspaces: keys.Workspaces = ()
         self._wake_at_ms: int | None = None
         self._is_flush_due = False
 
@@ -67,7 +69,10 @@
     def set_routes(self, table: routes.RouteTable) -> None:
         """Replace the workspaces of the configuration in force."""
         index = table.key_index
-        self._keeper.set_workspaces(index.workspaces if index else ())
+        workspaces = index.workspaces if index else ()
+        if workspaces is not self._workspaces:
+            self._workspaces = workspaces
+            self._keeper.set_workspaces(workspaces)
 
     def set_settings(self, settings: settings_model.EntrySettings) -> None:
         """Replace the bounds of the platform."""
--- a/src/cardamomdeal/fleet/routes.py
+++ b/src/cardamomdeal/fleet/routes.py
@@ -16,6 +16,8 @@
     _by_hostname: dict[str, dict[str, model.Route]]
     # None if requests need no key.
     key_index: keys.KeyIndex | None = None
+    # Whether any workspace has a quota.
+    has_quotas: bool = False
 
     def find(self, hostname: str, path: str) -> model.Route | None:
         """Return the route with the longest matching prefix, if any."""
@@ -34,20 +36,27 @@
         return None
 
 
-def build(configuration: model.Configuration) -> RouteTable:
-    """Return the route table of a configuration."""
+def build(
+    configuration: model.Configuration, previous: RouteTable | None = None
+) -> RouteTable:
+    """Return the route table of a configuration.
+
+    Workspaces that have not changed are taken from the previous table.
+    """
     by_hostname: dict[str, dict[str, model.Route]] = {}
     for route in configuration.routes:
         by_hostname.setdefault(route.hostname.lower(), {})[route.prefix] = (
             route
         )
+    workspaces = configuration.workspaces
     return RouteTable(
         configuration.version,
         configuration.limits,
         by_hostname,
         None
-        if configuration.workspaces is None
-        else keys.build(configuration.workspaces),
+        if workspaces is None
+        else keys.build(workspaces, previous and previous.key_index),
+        any(workspace.quota is not None for workspace in workspaces or ()),
     )
 
 
