--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -50,6 +50,11 @@
         """Return whether the configuration in force has workspaces."""
         return self._routes is not None and self._routes.key_index is not None
 
+    @property
+    def has_quotas(self) -> bool:
+        """Return whether any workspace of the configuration has a quota."""
+        return self._routes is not None and self._routes.has_quotas
+
     def items(self) -> tuple[store.Item, ...]:
         """Return the store items as received, for sending to other hosts."""
         return tuple(self._items.values())
--- a/tests/entry_case.py
+++ b/tests/entry_case.py
@@ -170,6 +170,9 @@
 class EntryHostCase(unittest.TestCase):
     """Test case with two entry hosts before two backend servers."""
 
+    # Settings besides those that every deployment has.
+    BOUNDS = {}
+
     def setUp(self):
         self.store_port = fleet.free_port()
         self.store = store_standin.StoreStandin(LOOPBACK, self.store_port)
@@ -233,8 +236,9 @@
             },
         }
         if tenants is not None:
+            columns = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst']
             value['tenants'] = {
-                'columns': ['name', 'api_keys', 'priority', 'rate_per_s'],
+                'columns': columns[: len(tenants[0])],
                 'rows': tenants,
             }
             value['routes']['columns'].append('public')
@@ -265,6 +269,7 @@
                 'repeat_window': '10s',
                 'repeat_slack': 60.0,
                 'capacity_floor': 0.7,
+                **self.BOUNDS,
             },
         }
         directory = tempfile.TemporaryDirectory()
