Check a configuration of the platform before it is sent

Operators saw: a mistake only when hosts refused the configuration, or served requests by it. Change: 'cardamomdeal check-configuration' reads a file as hosts do, and, from a file or the store, the one in force. Limits that need what is measured (deadlines of callers, number of servers, present load of a workspace) are not checked.

--- a/src/cardamomdeal/admin/command.py
+++ b/src/cardamomdeal/admin/command.py
@@ -13,6 +13,7 @@
 from returns.result import Success
 import urllib3
 
+from cardamomdeal.admin import configuration_command
 from cardamomdeal.admin import errors
 from cardamomdeal.document import check
 
@@ -80,6 +81,8 @@
     command.add_argument('document')
     command.set_defaults(run=_check)
 
+    configuration_command.add_to(commands)
+
     command = commands.add_parser(
         'try', help='apply a document to the trial environment'
     )
--- a/src/cardamomdeal/platform/configuration.py
+++ b/src/cardamomdeal/platform/configuration.py
@@ -168,25 +168,33 @@
         return Failure(
             errors.InvalidEntry(f'configuration: {_describe(error)}')
         )
-    return Success(
-        model.Configuration(
-            version=parsed.version,
-            routes=tuple(_to_route(route) for route in parsed.routes),
-            services=tuple(
-                model.Service(service.name, service.max_connections)
-                for service in parsed.services
-            ),
-            limits=model.Limits(
-                max_header_bytes=parsed.limits.max_header_bytes,
-                max_body_bytes=parsed.limits.max_body_bytes,
-                header_timeout_ms=parsed.limits.header_timeout,
-                idle_timeout_ms=parsed.limits.idle_timeout,
-            ),
-            workspaces=_to_workspaces(parsed.tenants),
-        )
+    return Success(to_configuration(parsed))
+
+
+def to_configuration(parsed: ConfigurationModel) -> model.Configuration:
+    """Convert a validated configuration to the words of the project."""
+    return model.Configuration(
+        version=parsed.version,
+        routes=tuple(_to_route(route) for route in parsed.routes),
+        services=tuple(
+            model.Service(service.name, service.max_connections)
+            for service in parsed.services
+        ),
+        limits=model.Limits(
+            max_header_bytes=parsed.limits.max_header_bytes,
+            max_body_bytes=parsed.limits.max_body_bytes,
+            header_timeout_ms=parsed.limits.header_timeout,
+            idle_timeout_ms=parsed.limits.idle_timeout,
+        ),
+        workspaces=_to_workspaces(parsed.tenants),
     )
 
 
+def kind_name(kind: model.WorkKind) -> str:
+    """Return what the platform calls a kind of work."""
+    return next(name for name, named in _KINDS.items() if named == kind)
+
+
 def _to_route(parsed: RouteModel) -> model.Route:
     if parsed.service is not None:
         targets = (model.WeightedService(parsed.service, 1.0),)
