Read nothing behind a request whose body was refused

Callers saw: a request that was part of a refused body was run, if a slow lookup on the same connection was answered before the refusal. Cause: the refusal closes the connection only once it is sent; the pipeline read on meanwhile and took the rest of the body for the next request. Evidence: tests.contract.test_caller_connections.RefusedBodiesTest, 3 of 3 red before this change, 3 of 3 green after it. Change: after a request with a body has ended, no other is accepted if its response closes the connection or if serving it raised an exception.

--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -178,6 +178,10 @@
         if _has_body(request):
             # The next bytes on the connection are the body of this request.
             futures.wait([future])
+            # A body that was refused or broke off is left unread, and the rest
+            # of it would be taken for the next request.
+            if request.close_connection or future.exception() is not None:
+                self._accepts_requests = False
 
     def _serve(
         self, request: cheroot_server.HTTPRequest, buffer: _BufferedConnection
