Receive requests and send responses without a thread

Callers saw: beside 80 connections whose bodies stall (with a length or in chunks) 0 of 20 orders of others were answered with 200, beside 80 stalled heads 16 of 20; a slow upload and a body behind a slow lookup timed out. Cause: the head and body of a request were read, and its response was sent, by a thread that waited for the caller; a host has 64. Change: the poller receives what has arrived into a buffer of the connection (internal/request_intake, without sockets) and hands over whole requests only; a response that the caller does not take yet goes back to the poller. What is received, and what is not yet sent, counts to the memory budget; a body that stalls for a second holds only what was received. A body that stops arriving is refused as not run (408 in place of 400); a stop refuses requests that are incomplete and delivers responses. The time left of a request counts from its first byte.

--- a/src/cardamomdeal/entry/caller.py
+++ b/src/cardamomdeal/entry/caller.py
@@ -1,6 +1,5 @@
 """Requests of callers and the responses to them, on top of WSGI."""
 
-from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import http
@@ -13,12 +12,14 @@
 from cardamomdeal.entry import errors
 from cardamomdeal.internal import body_buffer
 from cardamomdeal.internal import memory_budget
+from cardamomdeal.internal import request_intake
 from cardamomdeal.platform import wire
 
-# The HTTP server stores the caller's socket and the memory of the bodies
-# in the environ under these keys.
+# The HTTP server stores the caller's socket, the memory of the bodies and the
+# time at which the request began to arrive in the environ under these keys.
 ENVIRON_SOCKET_KEY = 'cardamomdeal.socket'
 ENVIRON_MEMORY_KEY = 'cardamomdeal.memory'
+ENVIRON_ARRIVED_KEY = 'cardamomdeal.arrived_at_ms'
 ENVIRON_REQUEST_ID_KEY = 'HTTP_' + wire.REQUEST_ID.upper().replace('-', '_')
 CHUNK_BYTES = 64 * 1024
 
@@ -102,8 +103,8 @@
 ) -> CallerRequest:
     """Read a request from its WSGI environment.
 
-    Raise MalformedRequest, RequestBodyTooLarge, RequestBodyIncomplete or
-    OutOfMemoryBudget.
+    Raise MalformedRequest, RequestBodyTooLarge, RequestBodyIncomplete,
+    RequestBodyTimedOut or OutOfMemoryBudget.
     """
     headers = _parse_headers(environ)
     memory: BodyMemory = environ[ENVIRON_MEMORY_KEY]
@@ -118,7 +119,7 @@
         path=target.partition('?')[0],
         deadline_ms=_parse_deadline_ms(headers),
         headers=headers,
-        body=_read_body(environ, headers, max_body_bytes, memory.request),
+        body=_read_body(environ, headers, max_body_bytes),
         memory=memory,
         connection=environ[ENVIRON_SOCKET_KEY],
     )
@@ -199,7 +200,6 @@
     environ: dict[str, Any],
     headers: dict[str, str],
     max_body_bytes: int,
-    reservation: memory_budget.Reservation,
 ) -> body_buffer.Body:
     has_transfer_encoding = 'Transfer-Encoding' in headers
     length = headers.get('Content-Length')
@@ -216,15 +216,11 @@
             raise errors.RequestBodyTooLarge(
                 f'the limit is {max_body_bytes} bytes'
             )
-        # In one step, so that a caller does not send most of a large body
-        # before it is refused.
-        _reserve(reservation, int(length))
     if not has_transfer_encoding and not int(length or 0):
         return body_buffer.Body()
-    chunks = _read_chunks(environ['wsgi.input'], max_body_bytes)
-    if has_transfer_encoding:
-        chunks = _reserve_chunks(chunks, reservation)
-    body = body_buffer.collect(chunks)
+    body = body_buffer.collect(
+        _read_chunks(environ['wsgi.input'], max_body_bytes)
+    )
     if length is not None and body.size_bytes < int(length):
         raise backend_errors.RequestBodyIncomplete(
             f'{int(length) - body.size_bytes} bytes are missing'
@@ -232,26 +228,13 @@
     return body
 
 
-def _reserve(reservation: memory_budget.Reservation, added_bytes: int) -> None:
-    if not reservation.try_add(added_bytes):
-        raise errors.OutOfMemoryBudget(
-            f'no memory for {added_bytes} bytes more: {reservation}'
-        )
-
-
-def _reserve_chunks(
-    chunks: Iterable[bytes], reservation: memory_budget.Reservation
-) -> Iterator[bytes]:
-    for chunk in chunks:
-        _reserve(reservation, len(chunk))
-        yield chunk
-
-
 def _read_chunks(body_stream: Any, max_body_bytes: int) -> Iterator[bytes]:
     received_bytes = 0
     while True:
         try:
             chunk = body_stream.read(CHUNK_BYTES)
+        except request_intake.RequestCut as cut:
+            raise _body_error(cut.reason) from cut
         except (OSError, ValueError) as error:
             raise backend_errors.RequestBodyIncomplete(str(error)) from error
         if not chunk:
@@ -262,3 +245,15 @@
                 f'the limit is {max_body_bytes} bytes'
             )
         yield chunk
+
+
+def _body_error(reason: request_intake.CutReason) -> Exception:
+    match reason:
+        case request_intake.TooLarge():
+            return errors.RequestBodyTooLarge('the body exceeds the limit')
+        case request_intake.NoMemory(detail):
+            return errors.OutOfMemoryBudget(f'no memory left: {detail}')
+        case request_intake.TimedOut():
+            return errors.RequestBodyTimedOut('the body stopped arriving')
+        case _:
+            return backend_errors.RequestBodyIncomplete(str(reason))
--- a/src/cardamomdeal/entry/errors.py
+++ b/src/cardamomdeal/entry/errors.py
@@ -17,3 +17,7 @@
 
 class OutOfMemoryBudget(EntryError):
     """There is no memory for the request body now."""
+
+
+class RequestBodyTimedOut(EntryError):
+    """The rest of the request body did not arrive in time."""
--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -21,7 +21,7 @@
 from cardamomdeal.internal import address
 from cardamomdeal.internal import allocator
 from cardamomdeal.internal import clock
-from cardamomdeal.internal import http_server
+from cardamomdeal.internal import polled_server
 from cardamomdeal.internal import process
 from cardamomdeal.internal import scheduler
 from cardamomdeal.internal import serving
@@ -167,7 +167,7 @@
     application: Any,
     threads: thread_pool.ElasticThreadPool,
 ) -> serving.ServerTask:
-    server = http_server.PolledServer(listen, application, threads)
+    server = polled_server.PolledServer(listen, application, threads)
     server.expiration_interval = AUXILIARY_SERVER_EXPIRY_S
     return serving.ServerTask(server)
 
--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -3,51 +3,34 @@
 import collections
 from concurrent import futures
 import dataclasses
-import enum
 import os
 import select
-import socket
 import threading
-from typing import Any
 
 from cheroot import server as cheroot_server
 
 from cardamomdeal.entry import caller
-from cardamomdeal.internal import body_buffer
-from cardamomdeal.internal import http_server
 from cardamomdeal.internal import memory_budget
+from cardamomdeal.internal import polled_connection
+from cardamomdeal.internal import request_intake
 
 # Maximum number of requests of one connection that are in flight.
 MAX_PIPELINED = 16
-HEAD_END = b'\r\n\r\n'
-PEEK_BYTES = 64 * 1024
-REQUEST_TIMEOUT_STATUS = '408 Request Timeout'
 
 
-class _UnreadData(enum.Enum):
-    """What a caller has sent of its next request."""
-
-    NOTHING = 'nothing'
-    PARTIAL_HEAD = 'part of a head'
-    # A complete head, or the end or an error of the connection.
-    HEAD = 'head'
-
-
-class _BufferedConnection:
-    """Wrapper of a connection that buffers the response to one request."""
+class _BufferedConnection(polled_connection.BufferedConnection):
+    """Connection with one of its requests, served beside others."""
 
     def __init__(
         self,
-        connection: http_server.Connection,
+        connection: polled_connection.PolledConnection,
+        received: request_intake.ReceivedRequest,
         budget: memory_budget.MemoryBudget,
     ) -> None:
-        self._connection = connection
-        self.wfile = body_buffer.BodyBuffer()
+        super().__init__(connection, received)
         self.finished = threading.Event()
         self.memory = caller.BodyMemory(budget)
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._connection, name)
+        self.memory.request = received.reservation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,7 +51,7 @@
 
     def __init__(
         self,
-        connection: http_server.Connection,
+        connection: polled_connection.PolledConnection,
         workers: futures.Executor,
         budget: memory_budget.MemoryBudget,
     ) -> None:
@@ -96,90 +79,48 @@
 
     def _run(self) -> bool:
         while True:
-            if self._may_read_request() and self._has_request():
+            if self._may_read_request() and self._connection.has_request():
                 self._read_request()
             elif not self._in_flight:
-                return self._accepts_requests
+                return (
+                    self._accepts_requests and not self._connection.has_ended
+                )
             else:
                 self._wait_for_event()
             if not self._send_finished_responses():
                 return False
 
     def _may_read_request(self) -> bool:
-        return self._accepts_requests and len(self._in_flight) < MAX_PIPELINED
-
-    def _has_request(self) -> bool:
-        """Return whether to read the next request.
-
-        While requests are in flight, a head is read only once it is complete:
-        waiting for the rest of it would delay finished responses.
-        """
-        if not self._connection.has_request():
-            return False
-        return not self._in_flight or self._peek_unread() is _UnreadData.HEAD
-
-    def _peek_unread(self) -> '_UnreadData':
-        """Return what has been received, without reading it."""
-        unread = b''
-        if self._connection.rfile.has_data():
-            unread = self._connection.rfile.peek(1)
-        if not self._connection.is_readable():
-            data = unread
-        else:
-            try:
-                received = self._connection.socket.recv(
-                    PEEK_BYTES, socket.MSG_PEEK
-                )
-            except OSError:
-                # Reading the request will raise the same error.
-                return _UnreadData.HEAD
-            if not received:
-                return _UnreadData.HEAD
-            data = unread + received
-        if HEAD_END in data:
-            return _UnreadData.HEAD
-        return _UnreadData.PARTIAL_HEAD if data else _UnreadData.NOTHING
+        # Responses that a caller does not read bound what it may send.
+        return (
+            self._accepts_requests
+            and not self._connection.has_unsent
+            and len(self._in_flight) < MAX_PIPELINED
+        )
 
     def _read_request(self) -> None:
-        buffer = _BufferedConnection(self._connection, self._budget)
-        request = self._connection.RequestHandlerClass(
-            self._connection.server, buffer
-        )
-        server = self._connection.server
-        self._connection.socket.settimeout(server.header_timeout_s)
-        try:
-            request.parse_request()
-        except TimeoutError:
-            if request.started_request:
-                request.simple_response(REQUEST_TIMEOUT_STATUS)
-        except OSError:
-            # The caller has disconnected, so no response can be sent.
-            pass
-        # A body may arrive with longer pauses than the head timeout allows.
-        self._connection.socket.settimeout(server.timeout)
+        received = self._connection.take_request()
+        buffer = _BufferedConnection(self._connection, received, self._budget)
+        request = self._connection.parse(buffer)
         if not request.ready:
             self._accepts_requests = False
-            if not buffer.wfile.is_empty:
-                future: futures.Future[None] = futures.Future()
-                future.set_result(None)
-                buffer.finished.set()
-                self._in_flight.append(
-                    _PipelinedRequest(request, buffer, future)
-                )
+            future: futures.Future[None] = futures.Future()
+            future.set_result(None)
+            buffer.finished.set()
+            self._in_flight.append(_PipelinedRequest(request, buffer, future))
             return
         # Decided only here: callers send the requests behind a response that
         # closes the connection once more, so it must be the last one.
-        if server.must_close_connections():
+        if self._connection.server.must_close_connections():
             request.close_connection = True
-        if request.close_connection:
+        if request.close_connection or not received.is_whole:
             self._accepts_requests = False
         future = self._workers.submit(self._serve, request, buffer)
         self._in_flight.append(_PipelinedRequest(request, buffer, future))
         if _has_body(request):
-            # The next bytes on the connection are the body of this request.
+            # Its response closes the connection if the body is refused, and
+            # nothing may be read behind it then. The response is sent later.
             futures.wait([future])
-            # A body that was refused or broke off is left unread, and the rest
-            # of it would be taken for the next request.
             if request.close_connection or future.exception() is not None:
                 self._accepts_requests = False
 
@@ -199,27 +140,32 @@
         """Wait until a response is finished or a request can be read."""
         poller = select.poll()
         poller.register(self._wake_read_fd, select.POLLIN)
-        # An incomplete head stays unread until a response has been sent.
-        if (
-            self._may_read_request()
-            and self._peek_unread() is not _UnreadData.PARTIAL_HEAD
-        ):
-            poller.register(self._connection.socket, select.POLLIN)
+        events = 0
+        if self._connection.has_unsent:
+            events = select.POLLOUT
+        elif self._may_read_request() and not self._connection.has_ended:
+            events = select.POLLIN
+        if events:
+            poller.register(self._connection.socket, events)
         for readable_fd, _ in poller.poll():
             if readable_fd == self._wake_read_fd:
                 os.read(self._wake_read_fd, MAX_PIPELINED)
 
     def _send_finished_responses(self) -> bool:
         """Send finished responses in order; return whether to stay open."""
+        self._connection.flush()
         while self._in_flight and self._in_flight[0].buffer.finished.is_set():
             pipelined = self._in_flight[0]
             # Raises the exception of a failed request, which closes the
             # connection.
             pipelined.future.result()
-            for part in pipelined.buffer.wfile.body().parts:
-                self._connection.socket.sendall(part)
-            pipelined.buffer.memory.release()
+            memory = pipelined.buffer.memory
+            memory.request.reduce_to(0)
+            # The connection holds the response until the caller has read it.
             self._in_flight.popleft()
+            self._connection.send(
+                pipelined.buffer.wfile.body().parts, memory.response
+            )
             if pipelined.request.close_connection:
                 return False
         return True
--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -15,7 +15,10 @@
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import http_server
 from cardamomdeal.internal import memory_budget
+from cardamomdeal.internal import polled_connection
+from cardamomdeal.internal import polled_server
 from cardamomdeal.internal import refusals
+from cardamomdeal.internal import request_intake
 from cardamomdeal.internal import thread_pool
 from cardamomdeal.settings import model as settings_model
 
@@ -74,6 +77,9 @@
         self._limits = limits
         if self._server is not None:
             self._server.max_request_header_size = limits.max_header_bytes
+            self._server.intake_limits = request_intake.Limits(
+                limits.max_header_bytes, self._max_body_bytes()
+            )
             self._server.header_timeout_s = limits.header_timeout_ms / 1000
             idle_ms = limits.idle_timeout_ms + IDLE_MARGIN_MS
             self._server.timeout = idle_ms / 1000
@@ -82,6 +88,9 @@
         """Close connections after the next request that is read on them."""
         self.keep_alive_disabled.set()
 
+    def _max_body_bytes(self) -> int:
+        return min(MAX_BODY_BYTES, self._limits.max_body_bytes)
+
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -93,12 +102,10 @@
         return response.body.parts
 
     def _serve(self, environ: dict[str, Any]) -> caller.Response:
-        arrived_at_ms = self._time.now_ms()
+        arrived_at_ms = environ[caller.ENVIRON_ARRIVED_KEY]
         request_id = caller.read_request_id(environ)
         try:
-            request = caller.read_request(
-                environ, min(MAX_BODY_BYTES, self._limits.max_body_bytes)
-            )
+            request = caller.read_request(environ, self._max_body_bytes())
             return self._forwarder.serve(request, arrived_at_ms)
         except (
             errors.MalformedRequest,
@@ -116,6 +123,8 @@
             return caller.error_response(
                 503, str(error), request_id, NO_MEMORY_RETRY_AFTER_MS
             )
+        except errors.RequestBodyTimedOut as error:
+            return caller.error_response(408, str(error), request_id)
         except errors.RequestBodyTooLarge as error:
             return caller.error_response(413, str(error), request_id)
         except Exception:
@@ -133,10 +142,11 @@
         environ = super().get_environ()
         environ[caller.ENVIRON_SOCKET_KEY] = self.req.conn.socket
         environ[caller.ENVIRON_MEMORY_KEY] = self.req.conn.memory
+        environ[caller.ENVIRON_ARRIVED_KEY] = self.req.conn.rfile.started_at_ms
         return environ
 
 
-class _Connection(http_server.Connection):
+class _Connection(polled_connection.PolledConnection):
     """Connection that serves its pipelined requests concurrently."""
 
     def communicate(self) -> bool:
@@ -147,10 +157,11 @@
             ).run()
         except OSError as error:
             log.info('caller connection lost', extra={'reason': str(error)})
+            self.discard_unsent()
             return False
 
 
-class CallerServer(http_server.PolledServer):
+class CallerServer(polled_server.PolledServer):
     """Server that serves pipelined requests side by side."""
 
     ConnectionClass = _Connection
@@ -183,7 +194,7 @@
         """
         return True
 
-    def refuse(self, conn: http_server.Connection) -> None:
+    def refuse(self, conn: polled_connection.PolledConnection) -> None:
         """Respond that the request was not run, and close."""
         self._refusals.refuse(conn)
 
--- a/src/cardamomdeal/internal/memory_budget.py
+++ b/src/cardamomdeal/internal/memory_budget.py
@@ -66,6 +66,13 @@
         self.held_bytes += added_bytes
         return True
 
+    def split_off(self, split_bytes: int) -> 'Reservation':
+        """Return a reservation that takes over some of the held bytes."""
+        other = Reservation(self._budget)
+        other.held_bytes = split_bytes
+        self.held_bytes -= split_bytes
+        return other
+
     def reduce_to(self, kept_bytes: int) -> None:
         """Release all but the given number of bytes."""
         released_bytes = self.held_bytes - kept_bytes
--- a/src/cardamomdeal/internal/refusals.py
+++ b/src/cardamomdeal/internal/refusals.py
@@ -53,14 +53,18 @@
         """Refuse queued connections until `stop` is called."""
         while (connection := self._queue.get()) is not None:
             with contextlib.suppress(OSError):
-                self._send_response(connection.socket)
+                self._send_response(connection)
             connection.close()
 
-    def _send_response(self, client_socket: socket.socket) -> None:
+    def _send_response(
+        self, connection: cheroot_server.HTTPConnection
+    ) -> None:
+        client_socket: socket.socket = connection.socket
         client_socket.settimeout(SOCKET_TIMEOUT_S)
         # Closing a socket with unread data resets the connection, and the
         # caller could lose the response saying that its request was not run.
-        client_socket.recv(READ_SIZE_BYTES)
+        if not getattr(connection, 'has_received', False):
+            client_socket.recv(READ_SIZE_BYTES)
         client_socket.sendall(self._response)
         http_server.discard_received(client_socket, MAX_DISCARD_MS)
 
