Save store calls that bring nothing

Cause: a failed renewal was followed by a write in the same step; a host that was alone in its view counted as a settled reader from its start; a follower that waited for its interval called although it had been stopped meanwhile; in an outage each host called every 1.5 s for as long as it lasted.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -30,6 +30,8 @@
 # all, long for the others, which would only add load to a failing store.
 READER_RETRY_DELAY_MS = 400
 NON_READER_RETRY_DELAY_MS = 1_500
+# In a longer outage, the readers tell the others when the store responds.
+NON_READER_MAX_RETRY_DELAY_MS = 3_000
 # Minimum times between the starts of two store calls. Without them, when many
 # hosts start at once, each entry written would end a watch of every host.
 READER_CALL_INTERVAL_MS = 150
@@ -61,7 +63,9 @@
         self._time = time
         self._rng = random.Random()
         self._state = fleet_state.FleetState()
-        self._store_readers = store_readers.StoreReaders(settings.name)
+        self._store_readers = store_readers.StoreReaders(
+            settings.name, time.now_ms()
+        )
         self._peers = peers.Peers(settings.name)
         self._reports = report_exchange.ReportExchange(host, self._rng)
         self._is_flush_scheduled = False
@@ -165,13 +169,23 @@
                 },
             )
         retry_delay_ms = NON_READER_RETRY_DELAY_MS
+        max_retry_delay_ms = NON_READER_MAX_RETRY_DELAY_MS
         if self._store_readers.is_preferred_reader() or not self._is_ready():
-            retry_delay_ms = READER_RETRY_DELAY_MS
+            retry_delay_ms = max_retry_delay_ms = READER_RETRY_DELAY_MS
         call_interval_ms = NON_READER_CALL_INTERVAL_MS
-        if self._store_readers.is_settled_reader(now_ms):
+        # A host without a configuration waits for nothing else.
+        if (
+            self._store_readers.is_settled_reader(now_ms)
+            or not self._state.is_complete
+        ):
             call_interval_ms = READER_CALL_INTERVAL_MS
         self._tasks.follower.tell(
-            messages.FollowStore(should_read, retry_delay_ms, call_interval_ms)
+            messages.FollowStore(
+                should_read,
+                retry_delay_ms,
+                call_interval_ms,
+                max_retry_delay_ms,
+            )
         )
 
     def _view_age_ms(self) -> int:
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -228,10 +228,11 @@
     """Whether to watch the store and how long to wait between calls."""
 
     follow: bool
-    # After a failed call.
+    # After a failed call; doubled with each further one.
     retry_delay_ms: int
     # Minimum time between the starts of two calls.
     call_interval_ms: int
+    max_retry_delay_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/entry/registrar.py
+++ b/src/cardamomdeal/entry/registrar.py
@@ -17,8 +17,9 @@
 
 # Callers are given the address of a crashed host for at most this time.
 LEASE_MS = 4_000
-# Leaves time for a second attempt before the lease expires.
-RENEWAL_INTERVAL_MS = 1_300
+# They leave time for a second attempt before the lease expires.
+RENEWAL_INTERVAL_MS = 1_800
+RETRY_DELAY_MS = 900
 
 log = logging.getLogger(__name__)
 
@@ -40,12 +41,11 @@
         self._is_stopping = False
         self._lease: store.Lease | None = None
         self._is_registered = False
+        self._is_renewed = False
 
     def on_start(self) -> None:
         """Schedule the renewals of the lease."""
-        self._timers.every(
-            self.actor_ref, messages.Tick(), RENEWAL_INTERVAL_MS
-        )
+        self._schedule_tick()
 
     def on_stop(self) -> None:
         """Close the store client."""
@@ -60,7 +60,7 @@
                     self._register()
             case messages.RegistrationLost():
                 self._is_registered = False
-                self._register()
+                self._renew()
             case messages.Unregister():
                 self._is_stopping = True
                 self._should_register = False
@@ -68,16 +68,33 @@
             case messages.SettingsUpdated(settings):
                 self._client.set_address(settings.store)
             case messages.Tick():
-                if self._is_stopping:
-                    self._unregister()
-                else:
-                    self._renew()
+                try:
+                    self._tick()
+                finally:
+                    self._schedule_tick()
+
+    def _tick(self) -> None:
+        if self._is_stopping:
+            self._unregister()
+        else:
+            self._renew()
+
+    def _schedule_tick(self) -> None:
+        is_settled = self._is_registered and self._is_renewed
+        self._timers.after(
+            self.actor_ref,
+            messages.Tick(),
+            RENEWAL_INTERVAL_MS if is_settled else RETRY_DELAY_MS,
+        )
 
     def _renew(self) -> None:
         if not self._should_register:
             return
         if self._lease is not None:
+            self._is_renewed = False
             match self._client.renew_lease(self._lease):
+                case Success(_):
+                    self._is_renewed = True
                 case Failure(errors.NotFound()):
                     log.warning('lease not found; registering this host again')
                     self._lease = None
@@ -86,6 +103,8 @@
                     log.warning(
                         'cannot renew the lease', extra={'reason': str(error)}
                     )
+                    # A write costs ten times as much and would fail as well.
+                    return
         self._register()
 
     def _register(self) -> None:
@@ -95,6 +114,7 @@
             match self._client.grant_lease(LEASE_MS):
                 case Success(lease):
                     self._lease = lease
+                    self._is_renewed = True
                 case Failure(error):
                     log.warning(
                         'cannot obtain a lease', extra={'reason': str(error)}
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -18,6 +18,7 @@
 # A broken connection without traffic is detected only when the watch on it
 # ends, so this time largely determines how late a change is received.
 WATCH_MS = 700
+MAX_DOUBLINGS = 8
 ALL_KEYS_PREFIX = ''
 
 log = logging.getLogger(__name__)
@@ -41,6 +42,8 @@
         self._is_following = False
         self._is_polling = False
         self._retry_delay_ms = 0
+        self._max_retry_delay_ms = 0
+        self._failure_count = 0
         self._call_interval_ms = 0
         self._wait_event = threading.Event()
         self._rng = random.Random()
@@ -53,9 +56,10 @@
         """Handle one message."""
         match message:
             case messages.FollowStore(
-                follow, retry_delay_ms, call_interval_ms
+                follow, retry_delay_ms, call_interval_ms, max_retry_delay_ms
             ):
                 self._retry_delay_ms = retry_delay_ms
+                self._max_retry_delay_ms = max_retry_delay_ms
                 self._call_interval_ms = call_interval_ms
                 self._set_following(follow)
             case messages.SetRevision(revision):
@@ -81,10 +85,14 @@
             - self._time.now_ms()
         )
         if remaining_ms > 0:
+            # Others may read for this host meanwhile.
             clock.wait_ms(self._wait_event, remaining_ms)
+            self.actor_ref.tell(messages.PollStore())
+            return
         self._last_call_at_ms = self._time.now_ms()
         match self._read_store_safely():
             case Success(update):
+                self._failure_count = 0
                 self._revision = update.revision
                 self._synchronizer.tell(update)
             case Failure(errors.RevisionCompacted()):
@@ -92,10 +100,17 @@
                 self._revision = None
             case Failure(error):
                 self._synchronizer.tell(messages.StoreFailed(str(error)))
-                delay_ms = self._rng.uniform(0.7, 1.3) * self._retry_delay_ms
-                clock.wait_ms(self._wait_event, round(delay_ms))
+                clock.wait_ms(self._wait_event, self._next_retry_delay_ms())
         self.actor_ref.tell(messages.PollStore())
 
+    def _next_retry_delay_ms(self) -> int:
+        delay_ms = self._retry_delay_ms * 2**self._failure_count
+        delay_ms = max(
+            self._retry_delay_ms, min(delay_ms, self._max_retry_delay_ms)
+        )
+        self._failure_count = min(self._failure_count + 1, MAX_DOUBLINGS)
+        return round(self._rng.uniform(0.7, 1.3) * delay_ms)
+
     def _read_store_safely(self) -> Any:
         # Polling ends for good if the poll raises an exception.
         try:
--- a/src/cardamomdeal/fleet/store_readers.py
+++ b/src/cardamomdeal/fleet/store_readers.py
@@ -31,12 +31,12 @@
     change to all hosts, so those with the fastest links rank first.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, started_at_ms: int = 0) -> None:
         self._name = name
         self._link_mbps: Mapping[str, float] = {name: 0.0}
         self._ranked: list[str] = [name]
         self._reports: dict[str, ProgressReport] = {}
-        self._preferred_since_ms = 0
+        self._preferred_since_ms = started_at_ms
 
     def set_hosts(self, link_mbps: Mapping[str, float], now_ms: int) -> None:
         """Rank the hosts, given with their links and including this one."""
--- a/tests/contract/test_store_follower.py
+++ b/tests/contract/test_store_follower.py
@@ -3,13 +3,17 @@
 import logging
 import time
 import unittest
+from unittest import mock
 
 import pykka
+from returns.result import Failure
+from returns.result import Success
 
 from cardamomdeal.entry import messages
 from cardamomdeal.entry import store_follower
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
+from cardamomdeal.platform import errors
 from cardamomdeal.platform import store
 from devel import fleet
 from devel import store_standin
@@ -89,6 +93,41 @@
             self.store.put(f'hosts/{n}', b'{}')
         self.wait_until_all_reported()
 
+    def test_follower_that_waits_makes_no_call_after_it_was_stopped(self):
+        # Each host that stopped reading made one more call.
+        self.follower.tell(messages.FollowStore(True, 100, 400))
+        time.sleep(0.1)
+        self.store.put('hosts/0', b'{}')
+        time.sleep(0.1)
+        calls = self.store.calls.total()
+        self.follower.tell(messages.FollowStore(False, 100, 400))
+        time.sleep(0.6)
+        self.assertEqual(calls, self.store.calls.total())
+
+    def test_pauses_after_failed_calls_grow_up_to_their_maximum(self):
+        # In an outage each host called the store as often as at its start.
+        client = mock.Mock(spec=store.StoreClient)
+        client.range.return_value = Failure(errors.PlatformUnavailable('503'))
+        waited_ms = []
+        follower = store_follower.StoreFollower(
+            mock.Mock(), client, clock.Clock()
+        )
+        with mock.patch.object(
+            clock, 'wait_ms', lambda _, delay_ms: waited_ms.append(delay_ms)
+        ):
+            follower.receive(messages.FollowStore(True, 1_000, 0, 3_000))
+            for _ in range(5):
+                follower.receive(messages.PollStore())
+            client.range.return_value = Success(store.Range((), 1))
+            follower.receive(messages.PollStore())
+            client.watch.return_value = client.range.return_value
+            client.watch.return_value = Failure(errors.PlatformError('x'))
+            follower.receive(messages.PollStore())
+        expected_ms = (1_000, 2_000, 3_000, 3_000, 3_000, 1_000)
+        self.assertEqual(len(expected_ms), len(waited_ms))
+        for expected, waited in zip(expected_ms, waited_ms, strict=True):
+            self.assertAlmostEqual(expected, waited, delta=0.31 * expected)
+
     def wait_until_all_reported(self):
         deadline_s = time.monotonic() + 5
         while time.monotonic() < deadline_s:
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -486,6 +486,16 @@
             self.sending_hosts(readers_by_name, later_ms),
         )
 
+    def test_host_that_has_just_started_is_not_settled(self):
+        # Alone in its view, it took itself for a settled reader, and many
+        # hosts that started together called the store every 150 ms.
+        started_ms = 10**9
+        readers = store_readers.StoreReaders('host-1', started_ms)
+        self.assertTrue(readers.is_preferred_reader())
+        self.assertFalse(readers.is_settled_reader(started_ms + 100))
+        later_ms = started_ms + 1 + store_readers.REPORT_TIMEOUT_MS
+        self.assertTrue(readers.is_settled_reader(later_ms))
+
     def test_new_host_with_a_slow_link_does_not_delay_sending(self):
         readers = store_readers.StoreReaders('host-1')
         hosts = {'host-1': 10.0, 'host-2': 200.0, 'host-3': 200.0}
--- a/tests/unit/test_registrar.py
+++ b/tests/unit/test_registrar.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cardamomdeal.entry import main
 from cardamomdeal.entry import messages
 from cardamomdeal.entry import registrar
 from cardamomdeal.fleet import model
@@ -16,6 +17,7 @@
 OWN = address.Address('10.0.0.1', 7_200)
 HOST = model.EntryHost('host-1', 1, 'r', 'a', OWN, OWN, 10.0)
 LEASE = store.Lease(7, 4_000)
+STORE_TIMEOUT_MS = main.STORE_TIMEOUT_MS
 
 
 class RegistrarTest(unittest.TestCase):
@@ -24,7 +26,8 @@
         self.client.grant_lease.return_value = Success(LEASE)
         self.client.write.return_value = Success(3)
         self.client.revoke_lease.return_value = Success(None)
-        self.registrar = registrar.Registrar(HOST, self.client, mock.Mock())
+        self.timers = mock.Mock()
+        self.registrar = registrar.Registrar(HOST, self.client, self.timers)
         self.registrar.receive(messages.Register())
         self.client.reset_mock()
 
@@ -38,6 +41,44 @@
         self.client.grant_lease.assert_not_called()
         self.client.write.assert_not_called()
 
+    def test_store_that_refuses_a_renewal_is_not_written_to(self):
+        # A host that the store turned away wrote its entry after each failed
+        # renewal, although the lease of the entry was not known to hold.
+        self.client.renew_lease.return_value = Failure(
+            errors.PlatformUnavailable('status 503')
+        )
+        self.registrar.receive(messages.RegistrationLost())
+        for _ in range(3):
+            self.registrar.receive(messages.Tick())
+        self.client.write.assert_not_called()
+        self.client.renew_lease.return_value = Success(LEASE)
+        self.registrar.receive(messages.Tick())
+        self.client.write.assert_called_once()
+
+    def test_entry_that_expired_with_its_lease_is_written_at_once(self):
+        self.client.renew_lease.return_value = Failure(
+            errors.NotFound('lease')
+        )
+        self.registrar.receive(messages.RegistrationLost())
+        self.client.grant_lease.assert_called_once()
+        self.client.write.assert_called_once()
+
+    def test_renewal_has_two_attempts_before_the_lease_expires(self):
+        attempt_ms = registrar.RENEWAL_INTERVAL_MS + STORE_TIMEOUT_MS
+        attempt_ms += registrar.RETRY_DELAY_MS
+        self.assertLess(attempt_ms, registrar.LEASE_MS)
+        self.client.renew_lease.return_value = Failure(
+            errors.PlatformUnavailable('silent')
+        )
+        for result, delay_ms in (
+            (Failure(errors.PlatformError('x')), registrar.RETRY_DELAY_MS),
+            (Success(LEASE), registrar.RENEWAL_INTERVAL_MS),
+        ):
+            self.client.renew_lease.return_value = result
+            self.registrar.receive(messages.Tick())
+            _, _, scheduled_ms = self.timers.after.call_args.args
+            self.assertEqual(delay_ms, scheduled_ms)
+
     def test_failed_unregistration_is_repeated(self):
         self.client.revoke_lease.return_value = Failure(
             errors.PlatformUnavailable('silent')
