Give up callers without progress when they hold too much

Callers would see: uploads and answers refused for lack of memory while slow readers and stalled senders hold it.

--- a/src/cardamomdeal/internal/polled_connection.py
+++ b/src/cardamomdeal/internal/polled_connection.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 import enum
+import logging
 import socket
 from typing import Any
 
@@ -14,6 +15,7 @@
 from cardamomdeal.internal import http_server
 from cardamomdeal.internal import memory_budget
 from cardamomdeal.internal import request_intake
+from cardamomdeal.internal import slow_clients
 
 RECEIVE_BYTES = 64 * 1024
 # Parts received in a row before other connections have their turn.
@@ -23,6 +25,8 @@
 REQUEST_TIMEOUT_STATUS = '408 Request Timeout'
 NO_MEMORY_STATUS = '503 Service Unavailable'
 
+log = logging.getLogger(__name__)
+
 
 class Step(enum.Enum):
     """What a connection needs next."""
@@ -171,6 +175,38 @@
             self._intake.give_up(request_intake.TimedOut())
         return Step.THREAD
 
+    def slowness(self, now_ms: int) -> slow_clients.SlowClient:
+        """Return what is held for the client, and since when it waits."""
+        held_bytes = self._intake.held_bytes + sum(
+            reservation.held_bytes
+            for _, reservation in self._unsent
+            if reservation is not None
+        )
+        match self._intake.progress:
+            case request_intake.PartOfBody(since_ms) if not self._unsent:
+                pass
+            case request_intake.PartOfHead(since_ms) if not self._unsent:
+                pass
+            case _:
+                since_ms = self._waits_since_ms
+        return slow_clients.SlowClient(held_bytes, now_ms - since_ms)
+
+    def give_up(self) -> Step:
+        """Release the memory held for the client, as others need it."""
+        log.info(
+            'slow caller given up',
+            extra={
+                'held_bytes': self.slowness(self._time.now_ms()).held_bytes,
+                'sends': not self._unsent,
+            },
+        )
+        if self._unsent:
+            return Step.CLOSE
+        self._intake.give_up(
+            request_intake.NoMemory('too much is held for slow callers')
+        )
+        return Step.THREAD
+
     def take_request(self) -> request_intake.ReceivedRequest:
         """Return the request that was received."""
         return self._intake.take(
--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -15,6 +15,7 @@
 from cardamomdeal.internal import memory_budget
 from cardamomdeal.internal import polled_connection
 from cardamomdeal.internal import request_intake
+from cardamomdeal.internal import slow_clients
 from cardamomdeal.internal import thread_pool
 
 # A stopping server waits this long for the first request of connections that
@@ -31,6 +32,8 @@
     max_head_bytes=16 * 1024, max_body_bytes=64 * 1024
 )
 DEFAULT_MEMORY_BYTES = 1024**2
+# Share of the memory for bodies that clients without progress may hold.
+SLOW_CLIENTS_SHARE = 0.5
 DEFAULT_HEADER_TIMEOUT_S = 10.0
 
 log = logging.getLogger(__name__)
@@ -61,6 +64,20 @@
             if step is not polled_connection.Step.WAIT:
                 self._selector.unregister(socket_fd)
                 self.server.take_step(connection, step)
+        self._give_up_slow_clients(now_ms)
+
+    def _give_up_slow_clients(self, now_ms: int) -> None:
+        budget = self.server.budget
+        max_held_bytes = round(SLOW_CLIENTS_SHARE * budget.limit_bytes)
+        # What they hold is a part of it.
+        if budget.held_bytes <= max_held_bytes:
+            return
+        waiting = self.waiting()
+        clients = [connection.slowness(now_ms) for _, connection in waiting]
+        for position in slow_clients.choose_given_up(clients, max_held_bytes):
+            socket_fd, connection = waiting[position]
+            self._selector.unregister(socket_fd)
+            self.server.take_step(connection, connection.give_up())
 
     def waiting(
         self,
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -12,6 +12,7 @@
 from cardamomdeal.internal import address
 from cardamomdeal.internal import body_buffer
 from cardamomdeal.internal import clock
+from cardamomdeal.internal import polled_server
 from cardamomdeal.internal import serving
 
 STOP_GRACE_MS = 2_000
@@ -157,6 +158,15 @@
         self.wait_until(lambda: not self.server.budget.held_bytes)
         self.assertLess(len(self.read_until_close(opened)), LARGE_BYTES)
 
+    def test_readers_without_progress_leave_memory_to_others(self):
+        self.server.budget.limit_bytes = 10 * LARGE_BYTES
+        readers = [self.ask('/large') for _ in range(9)]
+        self.wait_until(lambda: len(self.forwarder.requests) == len(readers))
+        max_bytes = polled_server.SLOW_CLIENTS_SHARE * 10 * LARGE_BYTES
+        self.assertGreater(self.server.budget.held_bytes, max_bytes)
+        self.wait_until(lambda: self.server.budget.held_bytes <= max_bytes)
+        self.assertGreater(self.server.budget.held_bytes, 0)
+
     def test_response_is_delivered_during_a_stop(self):
         opened = self.ask('/large')
         self.wait_until(lambda: self.forwarder.requests)
