--- a/src/cardamomdeal/platform/applications.py
+++ b/src/cardamomdeal/platform/applications.py
@@ -1,5 +1,6 @@
 """HTTP endpoints of an entry host for readiness and address lookup."""
 
+import logging
 from typing import Any
 
 import pykka
@@ -12,6 +13,8 @@
 # CPU.
 SYNCHRONIZER_TIMEOUT_S = 0.8
 
+log = logging.getLogger(__name__)
+
 
 class ReadinessApplication:
     """WSGI application that reports whether the host can serve."""
@@ -68,9 +71,9 @@
                 lookup, timeout=SYNCHRONIZER_TIMEOUT_S
             )
         except pykka.Timeout:
-            return http_json.JsonResponse(503, {'error': 'overloaded'})
+            return _refuse_lookup('overloaded')
         if not found.addresses:
-            return http_json.JsonResponse(503, {'error': 'no host is ready'})
+            return _refuse_lookup('no host is ready')
         return http_json.JsonResponse(
             200,
             {
@@ -78,3 +81,8 @@
                 'ttl': f'{found.keep_for_ms}ms',
             },
         )
+
+
+def _refuse_lookup(reason: str) -> http_json.JsonResponse:
+    log.warning('look-up of addresses refused', extra={'reason': reason})
+    return http_json.JsonResponse(503, {'error': reason})
