Close a connection behind a request of negative length

Callers saw: after the 400 to such a request, what it sent as its body was taken for the next request. The negative rest did not count as unread. Test: contract.test_caller_connections.RefusedBodiesTest .test_negative_length_behind_a_slow_lookup, red before, green after.

--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -47,7 +47,8 @@
     def _has_unread_body(self) -> bool:
         match self.rfile:
             case cheroot_server.KnownLengthRFile(remaining=remaining):
-                return remaining > 0
+                # It is negative if the stated length is.
+                return remaining != 0
             case cheroot_server.ChunkedRFile(closed=is_read):
                 return not is_read
             case _:
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -118,6 +118,9 @@
     def test_body_without_memory_behind_a_slow_lookup(self):
         self.check_refused(f'Content-Length: {60 * 1024**2}')
 
+    def test_negative_length_behind_a_slow_lookup(self):
+        self.check_refused('Content-Length: -5')
+
     def test_chunk_with_a_malformed_size_behind_a_slow_lookup(self):
         self.check_refused('Transfer-Encoding: chunked', '', 'x')
 
