--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -31,10 +31,15 @@
 # all, long for the others, which would only add load to a failing store.
 READER_RETRY_DELAY_MS = 400
 NON_READER_RETRY_DELAY_MS = 1_500
+# In a longer outage, the readers tell the others when the store responds.
+NON_READER_MAX_RETRY_DELAY_MS = 3_000
 # Minimum times between the starts of two store calls. Without them, when many
 # hosts start at once, each entry written would end a watch of every host.
 READER_CALL_INTERVAL_MS = 150
 NON_READER_CALL_INTERVAL_MS = 600
+# A host that has just read the store hears from the readers meanwhile.
+STARTING_MS = 1_200
+STARTING_CALL_INTERVAL_MS = 900
 # Maximum number of addresses in one response; callers accept no more.
 MAX_ADDRESSES = 64
 # With fewer hosts than this in a data centre, its callers also get the
@@ -60,9 +65,12 @@
         self._settings = settings
         self._host = host
         self._time = time
+        self._started_at_ms = time.now_ms()
         self._rng = random.Random()
         self._state = fleet_state.FleetState()
-        self._store_readers = store_readers.StoreReaders(settings.name)
+        self._store_readers = store_readers.StoreReaders(
+            settings.name, self._started_at_ms
+        )
         self._peers = peers.Peers(settings.name)
         self._reports = report_exchange.ReportExchange(host, self._rng)
         self._proofs = proof_keeper.ProofKeeper(
@@ -176,17 +184,31 @@
                 },
             )
         retry_delay_ms = NON_READER_RETRY_DELAY_MS
+        max_retry_delay_ms = NON_READER_MAX_RETRY_DELAY_MS
         if self._store_readers.is_preferred_reader() or not self._is_ready():
-            retry_delay_ms = READER_RETRY_DELAY_MS
-        call_interval_ms = NON_READER_CALL_INTERVAL_MS
-        if self._store_readers.is_settled_reader(now_ms):
-            call_interval_ms = READER_CALL_INTERVAL_MS
+            retry_delay_ms = max_retry_delay_ms = READER_RETRY_DELAY_MS
         self._tasks.follower.tell(
             messages.FollowStore(
-                should_read, retry_delay_ms, call_interval_ms, wants_answer
+                should_read,
+                retry_delay_ms,
+                self._call_interval_ms(now_ms),
+                max_retry_delay_ms,
+                wants_answer,
             )
         )
 
+    def _call_interval_ms(self, now_ms: int) -> int:
+        # A host without a configuration waits for nothing else.
+        if (
+            self._store_readers.is_settled_reader(now_ms)
+            or not self._state.is_complete
+        ):
+            return READER_CALL_INTERVAL_MS
+        is_starting = now_ms - self._started_at_ms < STARTING_MS
+        if is_starting and not self._store_readers.is_preferred_reader():
+            return STARTING_CALL_INTERVAL_MS
+        return NON_READER_CALL_INTERVAL_MS
+
     def _view_age_ms(self) -> int:
         return self._freshness.age_ms(self._time.now_ms())
 
@@ -443,6 +465,8 @@
             self._freshness.confirm(now_ms)
         else:
             self._replace_view(snapshot.items, snapshot.revision, now_ms)
+            # The follower goes on at once without a configuration.
+            self._update_store_reading()
         self._proofs.record_store_answer(snapshot.asked_at_ms)
         self._send_proof()
 
