--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -21,13 +21,12 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        # Of the configuration in force.
+        self._routes: routes.RouteTable | None = None
         # Revision that wrote the configuration in force, and the one that
         # wrote its entry last: they differ if that could not be applied.
         self.applied_revision: int | None = None
         self.configuration_revision: int | None = None
-        self._applied_value: bytes | None = None
-        # Of the configuration in force.
-        self._routes: routes.RouteTable | None = None
         self._new_routes: routes.RouteTable | None = None
         self._servers: registry.Registry[model.BackendServer] = (
             registry.Registry()
@@ -51,6 +50,11 @@
         """Return whether the configuration in force has workspaces."""
         return self._routes is not None and self._routes.key_index is not None
 
+    @property
+    def has_quotas(self) -> bool:
+        """Return whether any workspace of the configuration has a quota."""
+        return self._routes is not None and self._routes.has_quotas
+
     def items(self) -> tuple[store.Item, ...]:
         """Return the store items as received, for sending to other hosts."""
         return tuple(self._items.values())
@@ -160,8 +164,8 @@
                 if current is None or decoded.version > current.version:
                     self._routes = routes.build(decoded, current)
                     self._new_routes = self._routes
-                    self._applied_value = event.value
-                if event.value == self._applied_value:
+                    self.applied_revision = event.revision
+                elif routes.build(decoded, current) == current:
                     self.applied_revision = max(
                         self.applied_revision or 0, event.revision
                     )
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -31,10 +31,15 @@
 # all, long for the others, which would only add load to a failing store.
 READER_RETRY_DELAY_MS = 400
 NON_READER_RETRY_DELAY_MS = 1_500
+# In a longer outage, the readers tell the others when the store responds.
+NON_READER_MAX_RETRY_DELAY_MS = 3_000
 # Minimum times between the starts of two store calls. Without them, when many
 # hosts start at once, each entry written would end a watch of every host.
 READER_CALL_INTERVAL_MS = 150
 NON_READER_CALL_INTERVAL_MS = 600
+# A host that has just read the store hears from the readers meanwhile.
+STARTING_MS = 1_200
+STARTING_CALL_INTERVAL_MS = 900
 # Maximum number of addresses in one response; callers accept no more.
 MAX_ADDRESSES = 64
 # With fewer hosts than this in a data centre, its callers also get the
@@ -60,9 +65,12 @@
         self._settings = settings
         self._host = host
         self._time = time
+        self._started_at_ms = time.now_ms()
         self._rng = random.Random()
         self._state = fleet_state.FleetState()
-        self._store_readers = store_readers.StoreReaders(settings.name)
+        self._store_readers = store_readers.StoreReaders(
+            settings.name, self._started_at_ms
+        )
         self._peers = peers.Peers(settings.name)
         self._reports = report_exchange.ReportExchange(host, self._rng)
         self._proofs = proof_keeper.ProofKeeper(
@@ -124,6 +132,8 @@
                 | messages.LeavingObserved()
             ):
                 self._send_report(message)
+            case messages.SendDatagrams(sends):
+                self._send_all(list(sends))
             case messages.FlushReports():
                 self._is_flush_scheduled = False
                 self._pass_on_reports()
@@ -147,6 +157,7 @@
             self._send_updates()
         self._update_store_reading()
         self._ask_for_proof(now_ms)
+        self._send_hosts()
         if self._freshness.is_stale(now_ms):
             self._request_view(now_ms)
         if self._is_reading and self._freshness.was_confirmed:
@@ -173,17 +184,31 @@
                 },
             )
         retry_delay_ms = NON_READER_RETRY_DELAY_MS
+        max_retry_delay_ms = NON_READER_MAX_RETRY_DELAY_MS
         if self._store_readers.is_preferred_reader() or not self._is_ready():
-            retry_delay_ms = READER_RETRY_DELAY_MS
-        call_interval_ms = NON_READER_CALL_INTERVAL_MS
-        if self._store_readers.is_settled_reader(now_ms):
-            call_interval_ms = READER_CALL_INTERVAL_MS
+            retry_delay_ms = max_retry_delay_ms = READER_RETRY_DELAY_MS
         self._tasks.follower.tell(
             messages.FollowStore(
-                should_read, retry_delay_ms, call_interval_ms, wants_answer
+                should_read,
+                retry_delay_ms,
+                self._call_interval_ms(now_ms),
+                max_retry_delay_ms,
+                wants_answer,
             )
         )
 
+    def _call_interval_ms(self, now_ms: int) -> int:
+        # A host without a configuration waits for nothing else.
+        if (
+            self._store_readers.is_settled_reader(now_ms)
+            or not self._state.is_complete
+        ):
+            return READER_CALL_INTERVAL_MS
+        is_starting = now_ms - self._started_at_ms < STARTING_MS
+        if is_starting and not self._store_readers.is_preferred_reader():
+            return STARTING_CALL_INTERVAL_MS
+        return NON_READER_CALL_INTERVAL_MS
+
     def _view_age_ms(self) -> int:
         return self._freshness.age_ms(self._time.now_ms())
 
@@ -219,6 +244,16 @@
                 self._send_proof()
             case protocol.ServerReports():
                 self._receive_reports(received)
+            case (
+                protocol.QuotaQuestions()
+                | protocol.QuotaAnswers()
+                | protocol.LendingRequest()
+                | protocol.LendingConsent()
+            ):
+                if self._tasks is not None:
+                    self._tasks.dispatcher.tell(
+                        messages.QuotaDatagram(sender, received)
+                    )
             case _:
                 log.warning(
                     'unexpected datagram ignored',
@@ -430,6 +465,8 @@
             self._freshness.confirm(now_ms)
         else:
             self._replace_view(snapshot.items, snapshot.revision, now_ms)
+            # The follower goes on at once without a configuration.
+            self._update_store_reading()
         self._proofs.record_store_answer(snapshot.asked_at_ms)
         self._send_proof()
 
@@ -539,6 +576,7 @@
         if update != self._last_update:
             self._last_update = update
             self._tasks.dispatcher.tell(update)
+        self._send_hosts()
         if self._is_stopping:
             return
         if self._is_ready():
@@ -564,6 +602,18 @@
         if update is not None:
             self._tasks.dispatcher.tell(update)
 
+    def _send_hosts(self) -> None:
+        """Tell the dispatcher which hosts there are, if quotas need it."""
+        if self._tasks is None or not self._state.has_quotas:
+            return
+        now_ms = self._time.now_ms()
+        age_ms = self._freshness.known_age_ms(now_ms)
+        self._tasks.dispatcher.tell(
+            messages.HostsSeen(
+                self._hosts, None if age_ms is None else now_ms - age_ms
+            )
+        )
+
     def _set_hosts(self, hosts: tuple[model.EntryHost, ...]) -> None:
         self._hosts = hosts
         self._peers.set_registered(hosts, self._time.now_ms())
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -23,6 +23,8 @@
 # longer.
 URGENT_WATCH_MS = 50
 URGENT_MARGIN_MS = 1_200
+MAX_WAIT_STEP_MS = 100
+MAX_DOUBLINGS = 8
 ALL_KEYS_PREFIX = ''
 
 log = logging.getLogger(__name__)
@@ -46,6 +48,8 @@
         self._is_following = False
         self._is_polling = False
         self._retry_delay_ms = 0
+        self._max_retry_delay_ms = 0
+        self._failure_count = 0
         self._call_interval_ms = 0
         self._is_urgent = False
         self._wait_event = threading.Event()
@@ -59,10 +63,15 @@
         """Handle one message."""
         match message:
             case messages.FollowStore(
-                follow, retry_delay_ms, call_interval_ms, is_urgent
+                follow,
+                retry_delay_ms,
+                call_interval_ms,
+                max_retry_delay_ms,
+                is_urgent,
             ):
                 self._is_urgent = is_urgent
                 self._retry_delay_ms = retry_delay_ms
+                self._max_retry_delay_ms = max_retry_delay_ms
                 self._call_interval_ms = call_interval_ms
                 self._set_following(follow)
             case messages.SetRevision(revision):
@@ -88,10 +97,16 @@
             - self._time.now_ms()
         )
         if remaining_ms > 0:
-            clock.wait_ms(self._wait_event, remaining_ms)
+            # Meanwhile the interval may change, or others read for this host.
+            clock.wait_ms(
+                self._wait_event, min(remaining_ms, MAX_WAIT_STEP_MS)
+            )
+            self.actor_ref.tell(messages.PollStore())
+            return
         self._last_call_at_ms = self._time.now_ms()
         match self._read_store_safely():
             case Success(update):
+                self._failure_count = 0
                 self._revision = update.revision
                 self._synchronizer.tell(update)
             case Failure(errors.RevisionCompacted()):
@@ -99,10 +114,17 @@
                 self._revision = None
             case Failure(error):
                 self._synchronizer.tell(messages.StoreFailed(str(error)))
-                delay_ms = self._rng.uniform(0.7, 1.3) * self._retry_delay_ms
-                clock.wait_ms(self._wait_event, round(delay_ms))
+                clock.wait_ms(self._wait_event, self._next_retry_delay_ms())
         self.actor_ref.tell(messages.PollStore())
 
+    def _next_retry_delay_ms(self) -> int:
+        delay_ms = self._retry_delay_ms * 2**self._failure_count
+        delay_ms = max(
+            self._retry_delay_ms, min(delay_ms, self._max_retry_delay_ms)
+        )
+        self._failure_count = min(self._failure_count + 1, MAX_DOUBLINGS)
+        return round(self._rng.uniform(0.7, 1.3) * delay_ms)
+
     def _read_store_safely(self) -> Any:
         # Polling ends for good if the poll raises an exception.
         try:
--- a/tests/process/test_revocation.py
+++ b/tests/process/test_revocation.py
@@ -20,14 +20,20 @@
 
 
 class RevocationTest(entry_case.EntryHostCase):
-    extra_bounds = {'fail_closed': True, 'revoke': f'{REVOKE_S}s'}
+    BOUNDS = {'fail_closed': True, 'revoke': f'{REVOKE_S}s'}
 
     def setUp(self):
         super().setUp()
         self.calls = 0
         self.put_keys(2, [KEY])
         for host in self.hosts:
-            self.wait_until(lambda host=host: self.status(host) == 200)
+            # Until the configuration with keys is in force.
+            self.wait_until(
+                lambda host=host: (
+                    self.answer(host, key='unknown').status == 401
+                )
+            )
+        self.wait_until(lambda: self.statuses() == [200, 200])
 
     def put_keys(self, version, keys):
         self.put_configuration(
@@ -37,13 +43,13 @@
             public=['open'],
         )
 
-    def answer(self, host, route='safe'):
+    def answer(self, host, route='safe', key=KEY):
         self.calls += 1
         lines = (
             f'GET /{route}/x HTTP/1.1',
             'Host: shop.example',
             f'{wire.REQUEST_ID}: r{self.calls}',
-            f'Authorization: Token {KEY}',
+            f'Authorization: Token {key}',
         )
         with self.connect(host) as opened:
             opened.sendall(('\r\n'.join(lines) + '\r\n\r\n').encode())
