Decide on every request that waits for a token

What callers saw: with two real hosts under a flood, requests waited until their deadline and got 503 "no room in time", or "no host lends the quota". Cause: two questions for one workspace in one message had one entry, so the answer to the second was dropped; and a token that lapsed on its way left its request without a question.

--- a/src/cardamomdeal/entry/quota_borrowing.py
+++ b/src/cardamomdeal/entry/quota_borrowing.py
@@ -94,9 +94,7 @@
         decision = hand.request(
             request_number, self._own_tokens(limit, now_ms), now_ms
         )
-        question = hand.next_question(now_ms)
-        if question is not None:
-            self._send_question(question, now_ms)
+        self._ask(hand, now_ms)
         self._note_busy(hand)
         match decision:
             case token_holder.Asked():
@@ -155,6 +153,7 @@
         for hand in list(self._busy.values()):
             self._return(hand.pop_lapsed(now_ms))
             self._decide(hand.resume(now_ms), hand)
+            self._ask(hand, now_ms)
         for key, asked in list(self._asked.items()):
             if now_ms - asked.asked_at_ms >= token_holder.RETRY_AFTER_MS:
                 del self._asked[key]
@@ -217,6 +216,15 @@
                     # Neither lends yet; asked again when that is due.
                     self._asked[key] = asked
 
+    def _ask(self, hand: token_holder.Hand, now_ms: int) -> None:
+        question = hand.next_question(now_ms)
+        if question is None:
+            return
+        if now_ms - question.first_asked_at_ms >= token_holder.GIVE_UP_MS:
+            self._give_up(question, now_ms)
+        else:
+            self._send_question(question, now_ms)
+
     def _ask_again(self, question: token_holder.Question, now_ms: int) -> None:
         elapsed_ms = now_ms - question.first_asked_at_ms
         if elapsed_ms >= token_holder.GIVE_UP_MS:
@@ -254,7 +262,8 @@
         self, lender: str, now_ms: int
     ) -> protocol.QuotaQuestions:
         self._sequence += 1
-        questions = self._questions.pop(lender, [])
+        # An answer names its workspace, so each has one question.
+        questions = token_holder.merged(self._questions.pop(lender, []))
         for question in questions:
             self._asked[self._sequence, question.number] = _Asked(
                 question, lender, now_ms
--- a/src/cardamomdeal/workspaces/token_holder.py
+++ b/src/cardamomdeal/workspaces/token_holder.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 import math
 import random
@@ -84,6 +85,23 @@
     first_asked_at_ms: int
 
 
+def merged(questions: Iterable[Question]) -> list[Question]:
+    """Return the questions with one for each workspace."""
+    by_number: dict[int, Question] = {}
+    for question in questions:
+        known = by_number.get(question.number)
+        if known is not None:
+            question = Question(
+                question.number,
+                known.need + question.need,
+                known.ahead + question.ahead,
+                max(known.attempt, question.attempt),
+                min(known.first_asked_at_ms, question.first_asked_at_ms),
+            )
+        by_number[question.number] = question
+    return list(by_number.values())
+
+
 @dataclasses.dataclass(slots=True)
 class _Grant:
     lender: str
@@ -117,7 +135,8 @@
         self.limit = limit
         self._rng = rng
         self._grants: collections.deque[_Grant] = collections.deque()
-        self._waiting: collections.deque[int] = collections.deque()
+        # Numbers and arrivals of the requests that wait.
+        self._waiting: collections.deque[tuple[int, int]] = collections.deque()
         self._arrivals_ms: collections.deque[int] = collections.deque(
             maxlen=MAX_ARRIVALS
         )
@@ -167,13 +186,14 @@
             return self._over_limit(now_ms)
         if now_ms < self._unreachable_until_ms:
             return self._decide_alone(own_tokens, now_ms)
-        self._waiting.append(request_number)
+        self._waiting.append((request_number, now_ms))
         return Asked()
 
     def withdraw(self, request_number: int) -> None:
         """Forget a request whose caller has left."""
-        if request_number in self._waiting:
-            self._waiting.remove(request_number)
+        self._waiting = collections.deque(
+            entry for entry in self._waiting if entry[0] != request_number
+        )
 
     def give_back(self, token: Token, now_ms: int) -> Return | None:
         """Keep the token of a request that did not run, or return it."""
@@ -210,7 +230,9 @@
             return None
         self._asked_need += need
         self._asked_ahead += ahead
-        return Question(self.limit.number, need, ahead, 0, now_ms)
+        # The one that waits longest may have lost its token: it lapsed.
+        since_ms = self._waiting[0][1] if need else now_ms
+        return Question(self.limit.number, need, ahead, 0, since_ms)
 
     def receive(
         self,
@@ -258,7 +280,7 @@
         for _ in range(min(question.need, len(self._waiting))):
             decided.append(
                 (
-                    self._waiting.popleft(),
+                    self._waiting.popleft()[0],
                     self._decide_alone(own_tokens, now_ms),
                 )
             )
@@ -271,7 +293,7 @@
             token = self._take(now_ms)
             if token is None:
                 break
-            decided.append((self._waiting.popleft(), Granted(token)))
+            decided.append((self._waiting.popleft()[0], Granted(token)))
         return decided
 
     def next_event_at_ms(self) -> int | None:
@@ -335,7 +357,7 @@
         """Refuse the requests that came last and that no token waits for."""
         unserved = len(self._waiting) - self.held - self._asked_need
         return [
-            (self._waiting.pop(), self._over_limit(now_ms))
+            (self._waiting.pop()[0], self._over_limit(now_ms))
             for _ in range(min(count, max(0, unserved)))
         ]
 
--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -57,6 +57,11 @@
     copies: float = 0.0
     delay_ms: tuple[float, float] = (0.9, 3.0)
     view_lag_ms: tuple[float, float] = (20, 600)
+    # A busy process sends the questions of a moment together.
+    flush_ms: float = 1.0
+
+
+FAULTY = Network(loss=0.02, copies=0.02, flush_ms=10.0)
 
 
 def workspace(name, demand_per_s, quota_share=1.6):
@@ -93,6 +98,7 @@
         self.life += 1
         self.is_up = True
         self.wake_at_ms = None
+        self.is_flush_due = False
         self.confirmed_at_ms = None
         settings = mock.Mock(peers=self.entry.peers, bounds=self.fleet.bounds)
         settings.name = self.name
@@ -142,9 +148,13 @@
         now_ms = self.fleet.clock.now_ms()
         for number, outcome in self.keeper.pop_decided():
             self.fleet.decide(self, number, outcome)
-        for send in self.keeper.pop_sends(now_ms):
-            for to in send.to:
-                self.fleet.send(self, to, send.message)
+        if self.keeper.has_sends and not self.is_flush_due:
+            self.is_flush_due = True
+            life = self.life
+            self.fleet.after(
+                self.fleet.rng.uniform(0, self.fleet.network.flush_ms),
+                lambda: self.flush(life),
+            )
         at_ms = self.keeper.next_event_at_ms()
         if at_ms is None or (
             self.wake_at_ms is not None and self.wake_at_ms <= at_ms
@@ -154,6 +164,18 @@
         life = self.life
         self.fleet.at(max(at_ms, now_ms + 1), lambda: self.wake(at_ms, life))
 
+    def flush(self, life):
+        """Send what was asked and answered in the last moment."""
+        if life == self.life:
+            self.is_flush_due = False
+            self.do(self.send_all)
+
+    def send_all(self):
+        """Send what waits."""
+        for send in self.keeper.pop_sends(self.fleet.clock.now_ms()):
+            for to in send.to:
+                self.fleet.send(self, to, send.message)
+
     def wake(self, at_ms, life):
         """Wake the keeper if this is what it waits for."""
         if life == self.life and self.wake_at_ms == at_ms:
@@ -274,13 +296,20 @@
 
     def kill(self, host, down_ms):
         """Kill a host's process; start it again later."""
-        host.is_up = False
+        self.end(host)
         if down_ms > LEASE_MS[0]:
             self.after(
                 self.rng.uniform(*LEASE_MS), lambda: self.unregister(host)
             )
         self.after(down_ms, lambda: self.restart(host))
 
+    def end(self, host):
+        """End a host's process, and the requests at it."""
+        host.is_up = False
+        for number, (_, _, taken_by) in list(self.requests.items()):
+            if taken_by is host:
+                del self.requests[number]
+
     def restart(self, host):
         """Start a host's process and register it."""
         if self.side.get(host.number) is None:
@@ -295,7 +324,7 @@
     def stop(self, host, down_ms=3_500):
         """Stop a host as planned, and start it again."""
         self.unregister(host)
-        self.after(2_800, lambda: setattr(host, 'is_up', False))
+        self.after(2_800, lambda: self.end(host))
         self.after(down_ms, lambda: self.restart(host))
 
     def pause(self, host, duration_ms):
@@ -354,7 +383,7 @@
         host = self.rng.choice(up)
         number = next(self.numbers)
         now_ms = self.clock.now_ms()
-        self.requests[number] = (name, now_ms)
+        self.requests[number] = (name, now_ms, host)
         self.offered[name].append(now_ms)
 
         def admit():
@@ -368,7 +397,7 @@
 
     def decide(self, host, number, outcome):
         """Record whether a request runs."""
-        name, sent_at_ms = self.requests.pop(number)
+        name, sent_at_ms, _ = self.requests.pop(number)
         now_ms = self.clock.now_ms()
         match outcome:
             case token_holder.Granted():
@@ -521,6 +550,10 @@
                 fleet.worst_window(name), fleet.bound(name), name
             )
 
+    def assert_all_decided(self, fleet):
+        """A request without a decision would wait until its deadline."""
+        self.assertEqual({}, fleet.requests)
+
     def report(self, fleet, label, duration_ms):
         """Print what an operator would ask for."""
         shares = {
@@ -552,13 +585,14 @@
         self.load_all(fleet, 15_000)
         fleet.run(16_000)
         shares = self.report(fleet, 'calm', 18_000)
+        self.assert_all_decided(fleet)
         self.assert_within_bounds(fleet)
         for share in shares.values():
             self.assertLessEqual(share, MAX_REFUSED_IN_CALM)
 
     def test_hot_workspace_is_held_to_its_limit(self):
         """One sends eight times its usual, through all hosts."""
-        fleet = self.fleet(113, 24, seed=2)
+        fleet = self.fleet(113, 24, seed=2, network=Network(flush_ms=10.0))
         hot = workspace('hot', 21.0)
         fleet.by_name['hot'] = hot
         fleet.workspaces.append(hot)
@@ -568,6 +602,7 @@
         fleet.load('hot', 8 * 21.0, 15_000)
         fleet.run(16_000)
         shares = self.report(fleet, 'hot', 18_000)
+        self.assert_all_decided(fleet)
         self.assert_within_bounds(fleet)
         self.assertGreater(len(fleet.refused['hot']), 1_000)
         for share in shares.values():
@@ -577,9 +612,7 @@
         """Hosts restart by tens, join, die, freeze and are cut off."""
         for seed, demand in SEEDS.items():
             with self.subTest(seed=seed):
-                fleet = self.fleet(
-                    HOSTS, WORKSPACES, seed, network=Network(0.02, 0.02)
-                )
+                fleet = self.fleet(HOSTS, WORKSPACES, seed, network=FAULTY)
                 for name, usual in self.demands.items():
                     fleet.load(name, demand * usual, FAULTS_MS)
                 Faults(fleet).schedule(FAULTS_MS)
@@ -627,6 +660,8 @@
             faults.kill_a_lender()
             fleet.run(500)
         self.report(fleet, 'lenders die', 20_000)
+        fleet.run(3_000)
+        self.assert_all_decided(fleet)
         self.assert_within_bounds(fleet)
 
     def test_outage_of_the_store_refuses_nothing_below_the_limit(self):
--- a/tests/process/test_quotas.py
+++ b/tests/process/test_quotas.py
@@ -1,6 +1,7 @@
 """Quotas of workspaces, with entry host processes that lend tokens."""
 
 import bisect
+import collections
 import threading
 import time
 
@@ -86,6 +87,13 @@
             sent_s for sent_s, answer in self.answers if answer.status == 200
         )
 
+    @staticmethod
+    def reasons(refused):
+        """Return how many were refused for each reason."""
+        return collections.Counter(
+            (answer.status, answer.data) for answer in refused
+        )
+
     def test_quota_holds_over_both_hosts(self):
         """Each host let every request of a workspace pass."""
         ran_s = self.flood_all()
@@ -98,7 +106,9 @@
         refused = [
             answer for _, answer in self.answers if answer.status != 200
         ]
-        self.assertEqual({429}, {answer.status for answer in refused})
+        self.assertEqual(
+            {429}, {answer.status for answer in refused}, self.reasons(refused)
+        )
         self.assertGreater(len(refused), len(ran_s))
         for answer in refused:
             retry_after_s = float(answer.headers['Retry-After'])
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -201,10 +201,21 @@
     def test_questions_of_a_moment_are_sent_together(self):
         self.see(self.own, self.lender())
         waiting = [self.admit() for _ in range(3)]
-        ((_, asked),) = self.sent()
-        self.assertEqual(3, sum(q.need for q in asked.questions))
-        for request in waiting:
-            request.decision.close()
+        ((to, asked),) = self.sent()
+        ((number, need),) = ((q.workspace, q.need) for q in asked.questions)
+        self.assertEqual(3, need)
+        loan = protocol.QuotaLoan(number, 2, 0, 500, 7, 900, 0)
+        self.send(
+            messages.QuotaDatagram(
+                to,
+                protocol.QuotaAnswers(asked.session, asked.sequence, (loan,)),
+            )
+        )
+        decisions = [r.decision.wait(0, mock.Mock()) for r in waiting]
+        self.assertEqual(
+            [messages.Assigned, messages.Assigned, messages.Rejected],
+            [type(decision) for decision in decisions],
+        )
 
     def test_request_whose_caller_left_returns_its_token(self):
         lender = self.lender()
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -401,6 +401,23 @@
         self.now_ms += 200
         self.assertEqual(token_holder.Asked(), self.request(3))
 
+    def test_request_whose_token_lapsed_on_its_way_asks_again(self):
+        """Messages of a starved process take longer than tokens last."""
+        self.request(1)
+        question = self.ask()
+        asked_at_ms = self.now_ms
+        self.now_ms += 300
+        lent = quotas.Loan(quotas.Lent(1, 0, 250, 9), None)
+        self.assertEqual(
+            [],
+            self.hand.receive(question, lent, 'h-1', asked_at_ms, self.now_ms),
+        )
+        self.assertEqual(1, len(self.hand.pop_lapsed(self.now_ms)))
+        again = self.ask()
+        self.assertEqual(
+            (1, asked_at_ms), (again.need, again.first_asked_at_ms)
+        )
+
     def test_busy_workspace_has_tokens_at_hand(self):
         for number in range(100):
             self.now_ms += 20
