--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -306,6 +306,8 @@
     def end(self, host):
         """End a host's process, and the requests at it."""
         host.is_up = False
+        host.is_paused = False
+        host.inbox.clear()
         for number, (_, _, taken_by) in list(self.requests.items()):
             if taken_by is host:
                 del self.requests[number]
