--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -199,6 +199,8 @@
         self.numbers = itertools.count()
         # Hosts of each side of a split; no entry means no split.
         self.side = {}
+        # Sides that still reach the store.
+        self.sides_with_store = {None}
         self.is_store_up = True
         self.hosts = [Host(self, n) for n in range(host_count)]
         self.registered = list(self.hosts)
@@ -260,6 +262,10 @@
                 )
             )
 
+    def reaches_store(self, host):
+        """Return whether a host is in touch with the store."""
+        return self.side.get(host.number) in self.sides_with_store
+
     def confirm_views(self):
         """Let every host that is in touch with the store see its hosts."""
         if self.is_store_up:
@@ -276,8 +282,7 @@
         """Return what brings a host a view, unless it has a newer one."""
 
         def confirm():
-            # The store is on the side without a name.
-            if self.side.get(host.number) is not None:
+            if not self.reaches_store(host):
                 return
             if (host.confirmed_at_ms or 0) < asked_at_ms:
                 host.see(hosts, asked_at_ms)
@@ -314,10 +319,10 @@
 
     def restart(self, host):
         """Start a host's process and register it."""
-        if self.side.get(host.number) is None:
+        if self.reaches_store(host):
             self.register(host)
         host.start()
-        if self.is_store_up and self.side.get(host.number) is None:
+        if self.is_store_up and self.reaches_store(host):
             # It takes requests when it has read the store.
             host.view = ()
         else:
@@ -341,11 +346,15 @@
             self.hosts.append(host)
             self.register(host)
 
-    def cut(self, hosts, duration_ms):
-        """Cut hosts off from the others and from the store."""
+    def cut(self, hosts, duration_ms, has_store=False):
+        """Cut hosts off from the others, and from the store or not."""
         side = next(self.numbers)
+        if has_store:
+            self.sides_with_store.add(side)
         for host in hosts:
             self.side[host.number] = side
+            if has_store:
+                continue
             self.after(self.rng.uniform(*LEASE_MS), self.expiry(host, side))
         self.after(duration_ms, lambda: self.heal(hosts))
 
@@ -642,6 +651,16 @@
                 self.report(fleet, f'split, {cut_off} of {HOSTS}', 22_000)
                 self.assert_within_bounds(fleet)
 
+    def test_quotas_hold_while_a_lender_and_its_stand_in_are_parted(self):
+        """Both see all hosts in the store, and each reaches half of them."""
+        for seed in (10, 20):
+            with self.subTest(seed=seed):
+                fleet = self.hot_fleet(seed)
+                fleet.cut(fleet.hosts[::2], 12_000, has_store=True)
+                fleet.run(17_000)
+                self.report(fleet, 'parted', 22_000)
+                self.assert_within_bounds(fleet)
+
     def test_quotas_hold_in_a_split_while_the_store_is_away(self):
         """No view tells which side is the larger one."""
         for cut_off in (10, 20):
