Let a lender that others may have seen leave start without the burst

What callers would have seen: none yet. Cause: a lender that had been cut off until its entry lapsed took its whole burst for unused, beside what another one had lent. Change: after a gap in the confirmations of its view that is longer than its entry surely lasts, a lender counts as new.

--- a/src/cardamomdeal/entry/quota_hosts.py
+++ b/src/cardamomdeal/entry/quota_hosts.py
@@ -3,6 +3,7 @@
 import random
 
 from cardamomdeal.channels import datagrams
+from cardamomdeal.entry import registrar
 from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
 from cardamomdeal.internal import address
@@ -16,6 +17,8 @@
 FRESH_VIEW_MS = freshness.STALE_MS
 # Probes are sent before a view is too old, so that their answers are there.
 PROBE_VIEW_AGE_MS = 900
+# A host that was cut off for less time has kept its entry in the store.
+ABSENCE_MS = registrar.LEASE_MS - 2 * registrar.RENEWAL_INTERVAL_MS
 
 
 class QuotaHosts:
@@ -57,6 +60,13 @@
         now_ms: int,
     ) -> None:
         """Replace the hosts, as of the last confirmation of the view."""
+        known_at_ms = self._view_confirmed_at_ms
+        if (
+            known_at_ms is not None
+            and confirmed_at_ms is not None
+            and confirmed_at_ms - known_at_ms > ABSENCE_MS
+        ):
+            self.lenders.record_absence(now_ms)
         self._view_confirmed_at_ms = confirmed_at_ms
         addresses = {host.name: host.peers for host in hosts}
         self.reachability.record_hosts(len(addresses), now_ms)
--- a/src/cardamomdeal/workspaces/lenders.py
+++ b/src/cardamomdeal/workspaces/lenders.py
@@ -71,6 +71,7 @@
         self._name = name
         self._started_ms = started_ms
         self._retired_until_ms = 0
+        self._absent_until_ms = 0
         self._present: frozenset[str] = frozenset()
         # Hosts that joined or left, and when.
         self._changed_at_ms: dict[str, int] = {}
@@ -110,6 +111,10 @@
             self._insert(name)
         self._forget_left(now_ms)
 
+    def record_absence(self, now_ms: int) -> None:
+        """Record that others may have seen this host leave until now."""
+        self._absent_until_ms = now_ms
+
     def candidates(self, number: int, now_ms: int) -> tuple[str, ...]:
         """Return the host to borrow from, and the one that stands in."""
         self._forget_left(now_ms)
@@ -204,7 +209,11 @@
 
     def _since_ms(self, names: Iterable[str]) -> int:
         """Return since when no other host has lent."""
-        times_ms = [self._started_ms, self._retired_until_ms]
+        times_ms = [
+            self._started_ms,
+            self._retired_until_ms,
+            self._absent_until_ms,
+        ]
         for name in names:
             times_ms.append(self._changed_at_ms.get(name, 0))
             times_ms.append(self._promised_until_ms.get(name, 0))
--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -40,7 +40,7 @@
 WORKSPACES = 16
 FAULTS_MS = 30_000
 # Seeds and how many times its usual demand each workspace sends.
-SEEDS = {0: 1, 101: 4, 103: 4}
+SEEDS = {0: 1, 101: 4, 103: 4, 422: 4}
 CONFIG_APPLY_MS = 2_500
 CONFIRMATION_INTERVAL_MS = 300
 # An entry of the store lapses between these times after its host was cut off.
@@ -693,6 +693,18 @@
         for share in self.report(fleet, 'store away', 18_000).values():
             self.assertLessEqual(share, MAX_REFUSED_IN_CALM)
 
+    def test_return_of_the_store_refuses_little(self):
+        """Lenders cannot tell an outage of the store from a cut."""
+        fleet = self.fleet(HOSTS, WORKSPACES, seed=7)
+        fleet.is_store_up = False
+        self.load_all(fleet, 15_000)
+        fleet.run(8_000)
+        fleet.is_store_up = True
+        fleet.run(8_000)
+        self.report(fleet, 'store back', 18_000)
+        self.assert_within_bounds(fleet)
+        self.assert_all_decided(fleet)
+
     def test_lower_limit_binds_and_a_higher_one_is_usable(self):
         """Hosts learn of the configuration at different times."""
         fleet = self.fleet(HOSTS, WORKSPACES, seed=8)
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -287,6 +287,14 @@
         unaware.consent(self.first_name, False, self.now_ms)
         self.assertIsInstance(self.role(unaware), lenders.Elsewhere)
 
+    def test_lender_that_others_may_have_seen_leave_starts_anew(self):
+        """It was cut off, and does not know who has lent meanwhile."""
+        self.ask(self.first, self.second)
+        self.first.record_absence(self.now_ms - 1)
+        self.assertEqual(
+            quotas.Undisputed(self.now_ms - 1), self.role(self.first).standing
+        )
+
     def test_restarted_stand_in_keeps_to_an_earlier_promise(self):
         restarted = lenders.Lenders(self.second_name, self.now_ms)
         restarted.set_hosts(self.all, self.now_ms)
