Answer probes only of hosts that are listed here

What callers would have seen: none yet. Change: a host answers the probes of those in its own view, so a lender that others have replaced does not find most of the fleet.

--- a/src/cardamomdeal/entry/quota_hosts.py
+++ b/src/cardamomdeal/entry/quota_hosts.py
@@ -92,6 +92,10 @@
             else None
         )
 
+    def is_listed(self, name: str) -> bool:
+        """Return whether a host is present in this host's view."""
+        return name in self._addresses
+
     def name_of(self, peer: address.Address) -> str | None:
         """Return the name of the host with an address, if known."""
         return self._names.get(peer)
--- a/src/cardamomdeal/entry/quota_lending.py
+++ b/src/cardamomdeal/entry/quota_lending.py
@@ -155,9 +155,12 @@
     ) -> None:
         """Promise a host not to lend, and hand over what is left."""
         if request.is_probe:
-            self._hosts.send(
-                sender, protocol.LendingConsent(request.asked_at_ms, 'none')
-            )
+            # A host that is not listed here may have been replaced.
+            if self._hosts.is_listed(request.host):
+                self._hosts.send(
+                    sender,
+                    protocol.LendingConsent(request.asked_at_ms, 'none'),
+                )
             return
         consent = self._hosts.lenders.consent(
             request.host, self._hosts.is_stopping, now_ms
--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -40,7 +40,7 @@
 WORKSPACES = 16
 FAULTS_MS = 30_000
 # Seeds and how many times its usual demand each workspace sends.
-SEEDS = {0: 1, 101: 4, 103: 4, 422: 4}
+SEEDS = {0: 1, 101: 4, 103: 4, 422: 4, 510: 4}
 CONFIG_APPLY_MS = 2_500
 CONFIRMATION_INTERVAL_MS = 300
 # An entry of the store lapses between these times after its host was cut off.
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -217,6 +217,17 @@
             [type(decision) for decision in decisions],
         )
 
+    def test_probe_is_answered_for_a_listed_host_only(self):
+        """A host whose entry lapsed must not lend beside its successor."""
+        listed, gone = host('h-1', 2), host('h-2', 3)
+        self.see(self.own, listed)
+        for sender in (listed, gone):
+            probe = protocol.LendingRequest(sender.name, 5, is_probe=True)
+            self.send(messages.QuotaDatagram(sender.peers, probe))
+        ((to, answer),) = self.sent()
+        self.assertEqual(listed.peers, to)
+        self.assertEqual(protocol.LendingConsent(5, 'none'), answer)
+
     def test_request_whose_caller_left_returns_its_token(self):
         lender = self.lender()
         self.see(self.own, lender)
