--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -40,7 +40,7 @@
 WORKSPACES = 16
 FAULTS_MS = 30_000
 # Seeds and how many times its usual demand each workspace sends.
-SEEDS = {0: 1, 101: 4, 103: 4}
+SEEDS = {0: 1, 101: 4, 103: 4, 422: 4, 510: 4}
 CONFIG_APPLY_MS = 2_500
 CONFIRMATION_INTERVAL_MS = 300
 # An entry of the store lapses between these times after its host was cut off.
@@ -57,6 +57,11 @@
     copies: float = 0.0
     delay_ms: tuple[float, float] = (0.9, 3.0)
     view_lag_ms: tuple[float, float] = (20, 600)
+    # A busy process sends the questions of a moment together.
+    flush_ms: float = 1.0
+
+
+FAULTY = Network(loss=0.02, copies=0.02, flush_ms=10.0)
 
 
 def workspace(name, demand_per_s, quota_share=1.6):
@@ -93,6 +98,7 @@
         self.life += 1
         self.is_up = True
         self.wake_at_ms = None
+        self.is_flush_due = False
         self.confirmed_at_ms = None
         settings = mock.Mock(peers=self.entry.peers, bounds=self.fleet.bounds)
         settings.name = self.name
@@ -142,9 +148,13 @@
         now_ms = self.fleet.clock.now_ms()
         for number, outcome in self.keeper.pop_decided():
             self.fleet.decide(self, number, outcome)
-        for send in self.keeper.pop_sends(now_ms):
-            for to in send.to:
-                self.fleet.send(self, to, send.message)
+        if self.keeper.has_sends and not self.is_flush_due:
+            self.is_flush_due = True
+            life = self.life
+            self.fleet.after(
+                self.fleet.rng.uniform(0, self.fleet.network.flush_ms),
+                lambda: self.flush(life),
+            )
         at_ms = self.keeper.next_event_at_ms()
         if at_ms is None or (
             self.wake_at_ms is not None and self.wake_at_ms <= at_ms
@@ -154,6 +164,18 @@
         life = self.life
         self.fleet.at(max(at_ms, now_ms + 1), lambda: self.wake(at_ms, life))
 
+    def flush(self, life):
+        """Send what was asked and answered in the last moment."""
+        if life == self.life:
+            self.is_flush_due = False
+            self.do(self.send_all)
+
+    def send_all(self):
+        """Send what waits."""
+        for send in self.keeper.pop_sends(self.fleet.clock.now_ms()):
+            for to in send.to:
+                self.fleet.send(self, to, send.message)
+
     def wake(self, at_ms, life):
         """Wake the keeper if this is what it waits for."""
         if life == self.life and self.wake_at_ms == at_ms:
@@ -177,6 +199,8 @@
         self.numbers = itertools.count()
         # Hosts of each side of a split; no entry means no split.
         self.side = {}
+        # Sides that still reach the store.
+        self.sides_with_store = {None}
         self.is_store_up = True
         self.hosts = [Host(self, n) for n in range(host_count)]
         self.registered = list(self.hosts)
@@ -238,6 +262,10 @@
                 )
             )
 
+    def reaches_store(self, host):
+        """Return whether a host is in touch with the store."""
+        return self.side.get(host.number) in self.sides_with_store
+
     def confirm_views(self):
         """Let every host that is in touch with the store see its hosts."""
         if self.is_store_up:
@@ -254,8 +282,7 @@
         """Return what brings a host a view, unless it has a newer one."""
 
         def confirm():
-            # The store is on the side without a name.
-            if self.side.get(host.number) is not None:
+            if not self.reaches_store(host):
                 return
             if (host.confirmed_at_ms or 0) < asked_at_ms:
                 host.see(hosts, asked_at_ms)
@@ -274,19 +301,28 @@
 
     def kill(self, host, down_ms):
         """Kill a host's process; start it again later."""
-        host.is_up = False
+        self.end(host)
         if down_ms > LEASE_MS[0]:
             self.after(
                 self.rng.uniform(*LEASE_MS), lambda: self.unregister(host)
             )
         self.after(down_ms, lambda: self.restart(host))
 
+    def end(self, host):
+        """End a host's process, and the requests at it."""
+        host.is_up = False
+        host.is_paused = False
+        host.inbox.clear()
+        for number, (_, _, taken_by) in list(self.requests.items()):
+            if taken_by is host:
+                del self.requests[number]
+
     def restart(self, host):
         """Start a host's process and register it."""
-        if self.side.get(host.number) is None:
+        if self.reaches_store(host):
             self.register(host)
         host.start()
-        if self.is_store_up and self.side.get(host.number) is None:
+        if self.is_store_up and self.reaches_store(host):
             # It takes requests when it has read the store.
             host.view = ()
         else:
@@ -295,7 +331,7 @@
     def stop(self, host, down_ms=3_500):
         """Stop a host as planned, and start it again."""
         self.unregister(host)
-        self.after(2_800, lambda: setattr(host, 'is_up', False))
+        self.after(2_800, lambda: self.end(host))
         self.after(down_ms, lambda: self.restart(host))
 
     def pause(self, host, duration_ms):
@@ -310,11 +346,15 @@
             self.hosts.append(host)
             self.register(host)
 
-    def cut(self, hosts, duration_ms):
-        """Cut hosts off from the others and from the store."""
+    def cut(self, hosts, duration_ms, has_store=False):
+        """Cut hosts off from the others, and from the store or not."""
         side = next(self.numbers)
+        if has_store:
+            self.sides_with_store.add(side)
         for host in hosts:
             self.side[host.number] = side
+            if has_store:
+                continue
             self.after(self.rng.uniform(*LEASE_MS), self.expiry(host, side))
         self.after(duration_ms, lambda: self.heal(hosts))
 
@@ -354,7 +394,7 @@
         host = self.rng.choice(up)
         number = next(self.numbers)
         now_ms = self.clock.now_ms()
-        self.requests[number] = (name, now_ms)
+        self.requests[number] = (name, now_ms, host)
         self.offered[name].append(now_ms)
 
         def admit():
@@ -368,7 +408,7 @@
 
     def decide(self, host, number, outcome):
         """Record whether a request runs."""
-        name, sent_at_ms = self.requests.pop(number)
+        name, sent_at_ms, _ = self.requests.pop(number)
         now_ms = self.clock.now_ms()
         match outcome:
             case token_holder.Granted():
@@ -521,6 +561,10 @@
                 fleet.worst_window(name), fleet.bound(name), name
             )
 
+    def assert_all_decided(self, fleet):
+        """A request without a decision would wait until its deadline."""
+        self.assertEqual({}, fleet.requests)
+
     def report(self, fleet, label, duration_ms):
         """Print what an operator would ask for."""
         shares = {
@@ -552,13 +596,14 @@
         self.load_all(fleet, 15_000)
         fleet.run(16_000)
         shares = self.report(fleet, 'calm', 18_000)
+        self.assert_all_decided(fleet)
         self.assert_within_bounds(fleet)
         for share in shares.values():
             self.assertLessEqual(share, MAX_REFUSED_IN_CALM)
 
     def test_hot_workspace_is_held_to_its_limit(self):
         """One sends eight times its usual, through all hosts."""
-        fleet = self.fleet(113, 24, seed=2)
+        fleet = self.fleet(113, 24, seed=2, network=Network(flush_ms=10.0))
         hot = workspace('hot', 21.0)
         fleet.by_name['hot'] = hot
         fleet.workspaces.append(hot)
@@ -568,6 +613,7 @@
         fleet.load('hot', 8 * 21.0, 15_000)
         fleet.run(16_000)
         shares = self.report(fleet, 'hot', 18_000)
+        self.assert_all_decided(fleet)
         self.assert_within_bounds(fleet)
         self.assertGreater(len(fleet.refused['hot']), 1_000)
         for share in shares.values():
@@ -577,9 +623,7 @@
         """Hosts restart by tens, join, die, freeze and are cut off."""
         for seed, demand in SEEDS.items():
             with self.subTest(seed=seed):
-                fleet = self.fleet(
-                    HOSTS, WORKSPACES, seed, network=Network(0.02, 0.02)
-                )
+                fleet = self.fleet(HOSTS, WORKSPACES, seed, network=FAULTY)
                 for name, usual in self.demands.items():
                     fleet.load(name, demand * usual, FAULTS_MS)
                 Faults(fleet).schedule(FAULTS_MS)
@@ -607,6 +651,16 @@
                 self.report(fleet, f'split, {cut_off} of {HOSTS}', 22_000)
                 self.assert_within_bounds(fleet)
 
+    def test_quotas_hold_while_a_lender_and_its_stand_in_are_parted(self):
+        """Both see all hosts in the store, and each reaches half of them."""
+        for seed in (10, 20):
+            with self.subTest(seed=seed):
+                fleet = self.hot_fleet(seed)
+                fleet.cut(fleet.hosts[::2], 12_000, has_store=True)
+                fleet.run(17_000)
+                self.report(fleet, 'parted', 22_000)
+                self.assert_within_bounds(fleet)
+
     def test_quotas_hold_in_a_split_while_the_store_is_away(self):
         """No view tells which side is the larger one."""
         for cut_off in (10, 20):
@@ -627,6 +681,8 @@
             faults.kill_a_lender()
             fleet.run(500)
         self.report(fleet, 'lenders die', 20_000)
+        fleet.run(3_000)
+        self.assert_all_decided(fleet)
         self.assert_within_bounds(fleet)
 
     def test_outage_of_the_store_refuses_nothing_below_the_limit(self):
@@ -637,6 +693,18 @@
         for share in self.report(fleet, 'store away', 18_000).values():
             self.assertLessEqual(share, MAX_REFUSED_IN_CALM)
 
+    def test_return_of_the_store_refuses_little(self):
+        """Lenders cannot tell an outage of the store from a cut."""
+        fleet = self.fleet(HOSTS, WORKSPACES, seed=7)
+        fleet.is_store_up = False
+        self.load_all(fleet, 15_000)
+        fleet.run(8_000)
+        fleet.is_store_up = True
+        fleet.run(8_000)
+        self.report(fleet, 'store back', 18_000)
+        self.assert_within_bounds(fleet)
+        self.assert_all_decided(fleet)
+
     def test_lower_limit_binds_and_a_higher_one_is_usable(self):
         """Hosts learn of the configuration at different times."""
         fleet = self.fleet(HOSTS, WORKSPACES, seed=8)
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -201,10 +201,32 @@
     def test_questions_of_a_moment_are_sent_together(self):
         self.see(self.own, self.lender())
         waiting = [self.admit() for _ in range(3)]
-        ((_, asked),) = self.sent()
-        self.assertEqual(3, sum(q.need for q in asked.questions))
-        for request in waiting:
-            request.decision.close()
+        ((to, asked),) = self.sent()
+        ((number, need),) = ((q.workspace, q.need) for q in asked.questions)
+        self.assertEqual(3, need)
+        loan = protocol.QuotaLoan(number, 2, 0, 500, 7, 900, 0)
+        self.send(
+            messages.QuotaDatagram(
+                to,
+                protocol.QuotaAnswers(asked.session, asked.sequence, (loan,)),
+            )
+        )
+        decisions = [r.decision.wait(0, mock.Mock()) for r in waiting]
+        self.assertEqual(
+            [messages.Assigned, messages.Assigned, messages.Rejected],
+            [type(decision) for decision in decisions],
+        )
+
+    def test_probe_is_answered_for_a_listed_host_only(self):
+        """A host whose entry lapsed must not lend beside its successor."""
+        listed, gone = host('h-1', 2), host('h-2', 3)
+        self.see(self.own, listed)
+        for sender in (listed, gone):
+            probe = protocol.LendingRequest(sender.name, 5, is_probe=True)
+            self.send(messages.QuotaDatagram(sender.peers, probe))
+        ((to, answer),) = self.sent()
+        self.assertEqual(listed.peers, to)
+        self.assertEqual(protocol.LendingConsent(5, 'none'), answer)
 
     def test_request_whose_caller_left_returns_its_token(self):
         lender = self.lender()
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -287,6 +287,14 @@
         unaware.consent(self.first_name, False, self.now_ms)
         self.assertIsInstance(self.role(unaware), lenders.Elsewhere)
 
+    def test_lender_that_others_may_have_seen_leave_starts_anew(self):
+        """It was cut off, and does not know who has lent meanwhile."""
+        self.ask(self.first, self.second)
+        self.first.record_absence(self.now_ms - 1)
+        self.assertEqual(
+            quotas.Undisputed(self.now_ms - 1), self.role(self.first).standing
+        )
+
     def test_restarted_stand_in_keeps_to_an_earlier_promise(self):
         restarted = lenders.Lenders(self.second_name, self.now_ms)
         restarted.set_hosts(self.all, self.now_ms)
@@ -401,6 +409,23 @@
         self.now_ms += 200
         self.assertEqual(token_holder.Asked(), self.request(3))
 
+    def test_request_whose_token_lapsed_on_its_way_asks_again(self):
+        """Messages of a starved process take longer than tokens last."""
+        self.request(1)
+        question = self.ask()
+        asked_at_ms = self.now_ms
+        self.now_ms += 300
+        lent = quotas.Loan(quotas.Lent(1, 0, 250, 9), None)
+        self.assertEqual(
+            [],
+            self.hand.receive(question, lent, 'h-1', asked_at_ms, self.now_ms),
+        )
+        self.assertEqual(1, len(self.hand.pop_lapsed(self.now_ms)))
+        again = self.ask()
+        self.assertEqual(
+            (1, asked_at_ms), (again.need, again.first_asked_at_ms)
+        )
+
     def test_busy_workspace_has_tokens_at_hand(self):
         for number in range(100):
             self.now_ms += 20
