Let look-ups wait for the first view of a host

Callers saw: after a loss of power of all hosts, look-ups answered with 'no host is ready'. Cause: the directory listens before the first read of the store has ended.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -45,6 +45,8 @@
 # addresses of hosts elsewhere.
 MIN_LOCAL_HOSTS = 3
 ADDRESS_KEEP_FOR_MS = 2_000
+# The directory has fewer threads.
+MAX_AWAITED_ADDRESSES = 32
 
 log = logging.getLogger(__name__)
 
@@ -87,6 +89,7 @@
             protocol.StoreEntry
         ] = view_transfer.ViewAssembler()
         self._is_stopping = False
+        self._awaited_addresses: list[messages.AwaitAddresses] = []
         self._tasks: messages.TasksStarted | None = None
         self._is_reading = False
         self._datagrams = datagrams.DatagramTask(
@@ -133,6 +136,9 @@
                 self._pass_on_reports()
             case messages.FindAddresses(data_centre):
                 return self._find_addresses(data_centre)
+            case messages.AwaitAddresses():
+                self._awaited_addresses.append(message)
+                self._deliver_addresses()
             case messages.IsReady():
                 return self._is_ready()
             case messages.TasksStarted():
@@ -529,6 +535,7 @@
         hosts = self._state.hosts()
         if hosts != self._hosts:
             self._set_hosts(hosts)
+        self._deliver_addresses()
         if self._tasks is None:
             return
         table = self._state.pop_new_routes()
@@ -584,6 +591,18 @@
             min(ADDRESS_KEEP_FOR_MS, self._settings.bounds.max_keep_for_ms),
         )
 
+    def _deliver_addresses(self) -> None:
+        """Answer the look-ups that arrived before the first view."""
+        waiting, self._awaited_addresses = self._awaited_addresses, []
+        for awaited in waiting:
+            found = self._find_addresses(awaited.data_centre)
+            if found.addresses:
+                awaited.addresses.set(found)
+            else:
+                self._awaited_addresses.append(awaited)
+        # Those that were not answered for so long have been given up.
+        del self._awaited_addresses[:-MAX_AWAITED_ADDRESSES]
+
     def _send_report(self, observed: messages.Observation) -> None:
         self._send_all(
             self._reports.observe(
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -303,6 +303,14 @@
     limit_enforcer: 'LimitEnforcer'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitAddresses:
+    """Deliver addresses as soon as any are known."""
+
+    data_centre: str
+    addresses: deferred.Deferred['Addresses']
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FindAddresses:
     """Query for the addresses that callers in a data centre may use."""
