--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -444,8 +444,6 @@
             self._freshness.confirm(now_ms)
             return
         self._replace_view(snapshot.items, snapshot.revision, now_ms)
-        # The follower goes on at once without a configuration.
-        self._update_store_reading()
 
     def _replace_view(
         self, items: tuple[store.Item, ...], revision: int, valid_at_ms: int
@@ -549,6 +547,8 @@
             )
             self._tasks.dispatcher.tell(messages.RoutesUpdated(table))
             self._tasks.limit_enforcer.set_limits(table.limits)
+            # The follower calls more often until there is a configuration.
+            self._update_store_reading()
         update = messages.ServersUpdated(
             self._state.servers(), max(1, len(hosts))
         )
