Keep polling if one connection raises an unexpected exception

The poller now takes in what callers send, so an exception there would leave its connection open and end the round for the others. Seeded odd bytes raise none (unit.test_request_intake).

--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -232,6 +232,10 @@
         except OSError as error:
             log.info('connection lost', extra={'reason': str(error)})
             step = polled_connection.Step.CLOSE
+        except Exception:
+            # The other connections are polled by the same thread.
+            log.exception('connection closed after an unexpected exception')
+            step = polled_connection.Step.CLOSE
         self.take_step(conn, step)
 
     def take_step(
--- a/tests/unit/test_request_intake.py
+++ b/tests/unit/test_request_intake.py
@@ -1,5 +1,7 @@
 """Requests are found in bytes that arrive in any parts."""
 
+import contextlib
+import random
 import unittest
 
 from cardamomdeal.internal import memory_budget
@@ -88,6 +90,28 @@
                 self.assertEqual(reason, type(progress.reason).__name__)
                 self.assertFalse(self.take().is_whole)
 
+    def test_odd_bytes_raise_nothing(self):
+        rng = random.Random(5)
+        for _ in range(3_000):
+            self.setUp()
+            received = bytearray(rng.choice(REQUESTS) + rng.choice(REQUESTS))
+            for _ in range(rng.randrange(6)):
+                position = rng.randrange(len(received))
+                received[position] = rng.choice(b'\r\n:; 09afA-\0\xff')
+            while received:
+                size = rng.randrange(1, 40)
+                if not self.intake.is_ready:
+                    self.add(bytes(received[:size]))
+                    del received[:size]
+                while self.intake.is_ready:
+                    request = self.take()
+                    with contextlib.suppress(request_intake.RequestCut):
+                        while request.readline(7):
+                            pass
+                    request.reservation.reduce_to(0)
+            self.intake.release()
+            self.assertEqual(0, self.budget.held_bytes)
+
     def test_missing_rest_is_reported_to_the_reader(self):
         self.add(HEAD + b'Content-Length: 3\r\n\r\na')
         self.intake.give_up(request_intake.TimedOut())
