--- a/tests/contract/test_store_follower.py
+++ b/tests/contract/test_store_follower.py
@@ -20,6 +20,7 @@
 
 HOSTS = 48
 INTERVAL_MS = 150
+SLOW_MS = 200
 
 
 class KeyRecorder(pykka.ThreadingActor):
@@ -28,9 +29,14 @@
     def __init__(self):
         super().__init__()
         self._keys = set()
+        # Times from the question to the store until its answer is handled.
+        self._ages_ms = []
         self._values = []
 
     def on_receive(self, message):
+        asked_at_ms = getattr(message, 'asked_at_ms', None)
+        if asked_at_ms is not None:
+            self._ages_ms.append(clock.Clock().now_ms() - asked_at_ms)
         match message:
             case messages.StoreSnapshot(items, _):
                 self._keys |= {item.key for item in items}
@@ -38,6 +44,8 @@
             case messages.StoreChanged(_, events, _):
                 self._keys |= {event.key for event in events}
                 self._values += [event.value for event in events]
+            case 'ages':
+                return self._ages_ms
             case 'count':
                 return len(self._keys)
             case 'values':
@@ -86,6 +94,16 @@
         self.assertLessEqual(self.store.calls.total(), max_calls)
         self.wait_until_all_reported()
 
+    def test_answer_dates_from_the_question(self):
+        self.store.slow_ms = SLOW_MS
+        self.follower.tell(messages.FollowStore(True, 100, INTERVAL_MS))
+        for n in range(HOSTS):
+            self.store.put(f'hosts/{n}', b'{}')
+        self.wait_until_all_reported()
+        ages_ms = self.key_recorder.ask('ages')
+        # Times are in whole milliseconds.
+        self.assertGreaterEqual(min(ages_ms), SLOW_MS - 1)
+
     def test_unexpected_exception_does_not_end_the_polling(self):
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
