--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -70,6 +70,12 @@
         self.see(self.own)
 
     def configure(self, quota):
+        table = self.table(quota)
+        self.assertIs(quota is not None, table.has_quotas)
+        self.send(messages.RoutesUpdated(table))
+
+    def table(self, quota):
+        """Return the routes of a configuration with one workspace."""
         route = model.Route(
             'r',
             'a.example',
@@ -85,7 +91,7 @@
         configuration = model.Configuration(
             1, (route,), (model.Service('s', 9),), LIMITS, (workspace,)
         )
-        self.send(messages.RoutesUpdated(routes.build(configuration)))
+        return routes.build(configuration)
 
     def send(self, message):
         return self.dispatcher.receive(message)
