--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -633,6 +633,18 @@
                 )
                 self.assert_within_bounds(fleet)
 
+    def test_quotas_hold_without_slack(self):
+        """A host that joins lends while the one before it still does."""
+        bounds = dataclasses.replace(BOUNDS, quota_slack=0.0)
+        fleet = self.fleet(
+            HOSTS, WORKSPACES, 708, network=FAULTY, bounds=bounds
+        )
+        for name, usual in self.demands.items():
+            fleet.load(name, 4 * usual, FAULTS_MS)
+        Faults(fleet).schedule(FAULTS_MS)
+        fleet.run(FAULTS_MS + 2_000)
+        self.assert_within_bounds(fleet)
+
     def hot_fleet(self, seed, duration_ms=20_000):
         """Return a fleet whose workspaces all send too much."""
         fleet = self.fleet(HOSTS, WORKSPACES, seed)
