Let requests wait or refuse them while a service has no room

What callers saw: while one kind of work floods a service, servers rejected or reset most of what reached them, urgent requests among them, and requests that must not run twice ended as 502 although no server had seen them.

Cause: every request went out at once, whatever was known of the queues; no decision knew its priority.

Change: the package admission estimates the room of a service from reports, decides whether a request runs, waits or is refused, and keeps those that wait by priority, fair share and deadline. While room is short, a server is chosen at random by the room that it has. A repeat after a rejection by a full server waits in the same line.

--- /dev/null
+++ b/src/cardamomdeal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission under overload: room at servers, waiting and turning away."""
--- a/src/cardamomdeal/balancing/server_selection.py
+++ b/src/cardamomdeal/balancing/server_selection.py
@@ -207,12 +207,13 @@
         for c in trusted
         if c.server.data_centre == data_centre
         and c.load
-        and _has_valid_load(c, now_ms)
+        and has_valid_load(c, now_ms)
     ]
     return statistics.fmean(utilizations) if utilizations else 0.0
 
 
-def _has_valid_load(candidate: Candidate, now_ms: int) -> bool:
+def has_valid_load(candidate: Candidate, now_ms: int) -> bool:
+    """Return whether the load that a server reported still counts."""
     return now_ms - candidate.load_at_ms <= LOAD_VALID_MS
 
 
@@ -247,7 +248,7 @@
         # others. A server that never sent a report is new and should get
         # requests, so nothing is added for it.
         utilization += mean_utilization
-    if candidate.load and _has_valid_load(candidate, now_ms):
+    if candidate.load and has_valid_load(candidate, now_ms):
         reported = candidate.load.running + candidate.load.waiting
         busy = max(candidate.in_flight, reported + candidate.sent_since_load)
         utilization = busy / candidate.server.slots
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -8,6 +8,10 @@
 
 import pykka
 
+from cardamomdeal.admission import control
+from cardamomdeal.admission import room
+from cardamomdeal.admission import turning_away
+from cardamomdeal.admission import waiting
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import idle_connections
 from cardamomdeal.balancing import outcomes
@@ -38,6 +42,9 @@
 # route nor the retry budget, so they have a limit of their own.
 MAX_UNSENT_ATTEMPTS = 6
 DEFAULT_TIMEOUT_MS = 30_000
+# Weights in the fair shares of a service.
+DEFAULT_WEIGHT = 1.0
+MIN_WEIGHT = 0.01
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +67,8 @@
     )
     sent_attempts: int = 1
     unsent_attempts: int = 0
+    # Why the attempt before was not the last, if this is a repeat.
+    repeat_reason: str | None = None
     # Delivers the decision if the request has to wait for it.
     reply: deferred.Deferred[messages.Assigned | messages.Rejected] | None = (
         None
@@ -72,6 +81,24 @@
             return self.route.priority
         return self.workspace.priority
 
+    def demand(self, work_ms: float, now_ms: int) -> waiting.Demand:
+        """Return what the request asks of its service."""
+        aim_ms = self.route.target_latency_ms
+        last_start_at_ms = self.deadline_at_ms - round(work_ms)
+        aim_at_ms = self.deadline_at_ms
+        if aim_ms is not None:
+            aim_at_ms = min(aim_at_ms, self.admit.arrived_at_ms + aim_ms)
+        quota = self.workspace and self.workspace.quota
+        return waiting.Demand(
+            self.admission_id,
+            self.priority,
+            self.workspace and self.workspace.name,
+            max(MIN_WEIGHT, quota.rate_per_s) if quota else DEFAULT_WEIGHT,
+            self.admit.body_bytes,
+            aim_at_ms,
+            max(now_ms, last_start_at_ms),
+        )
+
 
 class Dispatcher(actor.Actor):
     """Actor that decides which server runs a request, and when."""
@@ -90,6 +117,8 @@
         self._time = time
         self._rng = random.Random()
         self._routes: routes.RouteTable | None = None
+        self._admission = control.AdmissionControl(random.Random())
+        self._is_release_scheduled = False
         self._servers = server_tracker.ServerTracker(synchronizer, time)
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = (
             collections.defaultdict(
@@ -125,6 +154,7 @@
                 self._withdraw(admission_id)
             case messages.StopAdmitting():
                 self._is_stopping = True
+                self._refuse_waiting()
                 log.info(
                     'new requests are refused from now on',
                     extra={'in_flight': len(self._requests)},
@@ -140,14 +170,23 @@
                 self._settings = settings
                 for budget in self._retry_budgets.values():
                     budget.set_bounds(settings.bounds)
+            case messages.ReleaseDue():
+                self._is_release_scheduled = False
+                self._release_all()
             case messages.Tick():
                 self._servers.close_expired_connections()
             case messages.GetMetrics():
                 return messages.Metrics(
-                    dict(self._counters), self._histograms.encode()
+                    dict(self.counters()), self._histograms.encode()
                 )
         return None
 
+    def counters(self) -> collections.Counter[str]:
+        """Return the counts of events, and of requests that wait now."""
+        counters = self._counters.copy()
+        counters['waiting_now'] = self._admission.waiting_count
+        return counters
+
     def _admit(self, admit: messages.Admit) -> messages.Decision:
         if self._is_stopping:
             # The process would exit before the server has answered.
@@ -164,17 +203,9 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
-        match authentication.authenticate(
-            self._routes.key_index, route.is_public, admit.credentials
-        ):
-            case workspace_model.Unrestricted():
-                workspace = None
-            case workspace_model.Authenticated(workspace):
-                pass
-            case workspace_model.Unauthenticated(reason):
-                return self._reject(admit, 401, reason)
-            case workspace_model.Unproven(reason, retry_after_ms):
-                return self._reject(admit, 503, reason, retry_after_ms)
+        workspace = self._authenticate(route, admit)
+        if isinstance(workspace, messages.Rejected):
+            return workspace
         now_ms = self._time.now_ms()
         deadline_at_ms = _deadline_at_ms(route, admit)
         if deadline_at_ms - now_ms < MIN_REMAINING_MS:
@@ -194,11 +225,42 @@
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
+        self._admission.record_arrival(service, request.priority, now_ms)
         return self._place(request)
 
+    def _authenticate(
+        self, route: model.Route, admit: messages.Admit
+    ) -> workspace_model.Workspace | messages.Rejected | None:
+        """Return the workspace of a request, if it needs one, or reject."""
+        assert self._routes is not None
+        match authentication.authenticate(
+            self._routes.key_index, route.is_public, admit.credentials
+        ):
+            case workspace_model.Unrestricted():
+                return None
+            case workspace_model.Authenticated(workspace):
+                return workspace
+            case workspace_model.Unauthenticated(reason):
+                return self._reject(admit, 401, reason)
+            case workspace_model.Unproven(reason, retry_after_ms):
+                return self._reject(admit, 503, reason, retry_after_ms)
+
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
         now_ms = self._time.now_ms()
+        match self._decide_admission(request, now_ms):
+            case turning_away.Wait():
+                return self._hold(request, now_ms)
+            case turning_away.Refuse(reason, retry_after_ms):
+                return self._end_unassigned(
+                    request, 503, reason, retry_after_ms
+                )
+        return self._send(request, now_ms)
+
+    def _send(
+        self, request: _Request, now_ms: int
+    ) -> messages.Assigned | messages.Rejected:
+        """Assign a server now, or reject the request."""
         view = self._select_server(request, now_ms)
         if view is None:
             return self._end_unassigned(
@@ -209,6 +271,176 @@
             )
         return self._assign(request, view)
 
+    def _decide_admission(
+        self, request: _Request, now_ms: int
+    ) -> turning_away.Decision:
+        if not self._settings.admission_control:
+            return turning_away.Run()
+        state = self._room(request.service, now_ms)
+        if state is None:
+            return turning_away.Run()
+        decision = self._admission.decide(
+            request.service,
+            request.demand(state.work_ms, now_ms),
+            state,
+            self._servers.host_count,
+            now_ms,
+        )
+        match decision:
+            case turning_away.Wait() | turning_away.Refuse():
+                name = type(decision).__name__.lower()
+                self._counters[f'admission.{name}'] += 1
+                log.info(
+                    'no room for request now',
+                    extra={
+                        'request_id': request.admit.request_id,
+                        'decision': str(decision),
+                        'service': request.service,
+                        'priority': request.priority,
+                        'start_ms': round(state.start_ms),
+                        'spread_ms': round(state.spread_ms),
+                        'work_ms': round(state.work_ms),
+                        'report_age_ms': round(state.age_ms),
+                        'waiting_here': self._admission.waiting_count,
+                    },
+                )
+        return decision
+
+    def _room(self, service: str, now_ms: int) -> room.Room | None:
+        """Return the room of a service that is short of it, else None."""
+        views = self._servers.views_of(service)
+        if not room.may_be_short(views, now_ms):
+            return None
+        return self._admission.room_of(
+            service,
+            [self._servers.candidate(view, 0, now_ms) for view in views],
+            now_ms,
+        )
+
+    def _hold(self, request: _Request, now_ms: int) -> messages.Waiting:
+        """Let a request wait for a slot."""
+        state = self._room(request.service, now_ms)
+        displaced = self._admission.hold(
+            request.service,
+            request.demand(state.work_ms if state else 0, now_ms),
+            now_ms,
+        )
+        if displaced is not None:
+            self._reject_waiting(
+                displaced.admission_id,
+                'a more urgent request waits',
+                waiting.RELEASE_INTERVAL_MS,
+            )
+        self._schedule_release()
+        return self._defer(request)
+
+    def _schedule_release(self) -> None:
+        if not self._is_release_scheduled:
+            self._is_release_scheduled = True
+            self._timers.after(
+                self.actor_ref,
+                messages.ReleaseDue(),
+                waiting.RELEASE_INTERVAL_MS,
+            )
+
+    def _release_all(self) -> None:
+        """Release the requests whose turn has come."""
+        now_ms = self._time.now_ms()
+        for service in self._admission.services_waited_for():
+            for held in self._admission.pop_expired(service, now_ms):
+                self._reject_waiting(
+                    held.demand.admission_id,
+                    'no room in time',
+                    self._servers.retry_after_ms(service, now_ms),
+                )
+            self._release(service, self._room(service, now_ms), now_ms, None)
+        if self._admission.waiting_count:
+            self._schedule_release()
+
+    def _release(
+        self,
+        service: str,
+        state: room.Room | None,
+        now_ms: int,
+        freed_slot: outcomes.Load | None,
+    ) -> None:
+        """Send the request that is due first, if its turn has come."""
+        held = self._admission.release(
+            service,
+            state,
+            self._servers.host_count,
+            now_ms,
+            freed_slot=freed_slot,
+        )
+        if held is None:
+            return
+        request = self._requests[held.demand.admission_id]
+        waited_ms = now_ms - held.since_ms
+        self._counters['admission.released'] += 1
+        self._counters['admission.waited_ms'] += waited_ms
+        log.info(
+            'waiting request released',
+            extra={
+                'request_id': request.admit.request_id,
+                'service': service,
+                'waited_ms': waited_ms,
+                'start_ms': state and round(state.start_ms),
+                'report_age_ms': state and round(state.age_ms),
+                'freed_slot': freed_slot and dataclasses.astuple(freed_slot),
+            },
+        )
+        self._resume(request, self._decide_released(request, now_ms))
+
+    def _decide_released(
+        self, request: _Request, now_ms: int
+    ) -> messages.Assigned | messages.Rejected:
+        """Check a request once more after its wait, and send it."""
+        rejected = self._recheck(request)
+        if rejected is not None:
+            del self._requests[request.admission_id]
+            return rejected
+        if request.repeat_reason is not None:
+            reason = self._no_budget_reason(request, now_ms)
+            if reason is not None:
+                return self._end_unassigned(request, 503, reason, 0)
+            self._counters['repeats'] += 1
+        return self._send(request, now_ms)
+
+    def _recheck(self, request: _Request) -> messages.Rejected | None:
+        """Reject a request that the present configuration forbids."""
+        assert self._routes is not None
+        admit = request.admit
+        route = self._routes.find(admit.hostname, admit.path)
+        if route is None:
+            return self._reject(admit, 404, 'no route for this path')
+        workspace = self._authenticate(route, admit)
+        if isinstance(workspace, messages.Rejected):
+            return workspace
+        if request.service not in {t.service for t in route.targets}:
+            return self._reject(
+                admit, 503, 'the route has changed', STOPPING_RETRY_AFTER_MS
+            )
+        return None
+
+    def _refuse_waiting(self) -> None:
+        """Reject all waiting requests; no server has seen them."""
+        for admission_id in self._admission.waiting_ids():
+            self._admission.remove(
+                self._requests[admission_id].service, admission_id
+            )
+            self._reject_waiting(
+                admission_id, 'this host is stopping', STOPPING_RETRY_AFTER_MS
+            )
+
+    def _reject_waiting(
+        self, admission_id: int, reason: str, retry_after_ms: int
+    ) -> None:
+        request = self._requests[admission_id]
+        self._resume(
+            request,
+            self._end_unassigned(request, 503, reason, retry_after_ms),
+        )
+
     def _end_unassigned(
         self,
         request: _Request,
@@ -244,6 +476,8 @@
     def _withdraw(self, admission_id: int) -> None:
         """End a request whose caller has left or whose wait was too long."""
         request = self._requests.pop(admission_id, None)
+        if request is not None:
+            self._admission.remove(request.service, admission_id)
         if request is not None and request.attempt is not None:
             # A server was assigned while the message was on its way.
             self._servers.record_result(request.attempt, outcomes.CallerLeft())
@@ -277,6 +511,14 @@
             for view in self._servers.views_of(service)
             if view.server.incarnation not in request.tried_servers
         ]
+        if self._settings.admission_control:
+            candidates = _without_full_servers(
+                candidates, request.route, now_ms
+            )
+            if room.may_be_short(self._servers.views_of(service), now_ms):
+                candidates = self._admission.feasible(
+                    service, request.priority, candidates, now_ms
+                )
         selection = server_selection.select(
             candidates,
             server_selection.SelectionContext(
@@ -347,6 +589,15 @@
     ) -> messages.RetryDecision:
         request = self._requests[admission_id]
         self._record_result(request, result)
+        now_ms = self._time.now_ms()
+        match self._decide_repeat(request, result, now_ms):
+            case turning_away.Wait():
+                request.attempt = None
+                request.repeat_reason = type(result).__name__
+                return self._hold(request, now_ms)
+            case turning_away.Refuse(reason, retry_after_ms):
+                del self._requests[admission_id]
+                return messages.NoRetry(reason, retry_after_ms)
         reason = self._no_retry_reason(request, result)
         if reason is None:
             view = self._select_server(request, self._time.now_ms())
@@ -370,6 +621,24 @@
         del self._requests[admission_id]
         return messages.NoRetry(reason, retry_after_ms)
 
+    def _decide_repeat(
+        self,
+        request: _Request,
+        result: outcomes.AttemptResult,
+        now_ms: int,
+    ) -> turning_away.Decision:
+        """Return whether a repeat goes out now.
+
+        A full server has rejected the request, and another full one would
+        reject it again at the cost of a retry.
+        """
+        can_repeat = request.sent_attempts < request.route.max_attempts
+        match result:
+            case outcomes.NotExecuted(load=load) if room.is_full_report(load):
+                if can_repeat and not self._is_stopping:
+                    return self._decide_admission(request, now_ms)
+        return turning_away.Run()
+
     def _no_retry_reason(
         self, request: _Request, result: outcomes.AttemptResult
     ) -> str | None:
@@ -388,6 +657,10 @@
                 match request.route.kind:
                     case model.NonIdempotent() | model.Upload():
                         return 'the request may have run'
+        return self._no_budget_reason(request, now_ms)
+
+    def _no_budget_reason(self, request: _Request, now_ms: int) -> str | None:
+        """Spend one retry, or return why there is none."""
         if request.sent_attempts >= request.route.max_attempts:
             return 'no attempts left'
         if not self._retry_budgets[request.service].try_spend(
@@ -428,6 +701,32 @@
                     request.service, request.route.name, latency_ms
                 )
         self._servers.record_result(request.attempt, result)
+        self._admission.record_result(request.service, result)
+        match result:
+            case outcomes.Answered(load=outcomes.Load() as load):
+                self._release(request.service, None, self._time.now_ms(), load)
+
+
+def _without_full_servers(
+    candidates: list[server_selection.Candidate],
+    route: model.Route,
+    now_ms: int,
+) -> list[server_selection.Candidate]:
+    """Leave out the servers that would reset a new connection.
+
+    A request that must not run twice is lost by the reset, although no server
+    has seen it.
+    """
+    match route.kind:
+        case model.Idempotent():
+            return candidates
+        case model.NonIdempotent() | model.Upload():
+            return [
+                candidate
+                for candidate in candidates
+                if candidate.has_idle_connection
+                or not room.is_full(candidate, now_ms)
+            ]
 
 
 def _deadline_at_ms(route: model.Route, admit: messages.Admit) -> int:
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -49,6 +49,7 @@
             request.path,
             request.deadline_ms,
             arrived_at_ms,
+            body_bytes=request.body.size_bytes,
         )
         try:
             decision = self._dispatcher.ask(
@@ -59,7 +60,7 @@
                 503, 'overloaded', request.request_id, OVERLOAD_RETRY_AFTER_MS
             )
         if isinstance(decision, messages.Waiting):
-            decision = self._wait(decision, request)
+            decision = _wait(decision, request, self._dispatcher, self._time)
         match decision:
             case messages.Rejected(status, reason, retry_after_ms):
                 return caller.error_response(
@@ -80,19 +81,6 @@
                     OVERLOAD_RETRY_AFTER_MS,
                 )
 
-    def _wait(
-        self, waiting: messages.Waiting, request: caller.CallerRequest
-    ) -> messages.Assigned | messages.Rejected:
-        """Wait for a decision until the deadline or the caller leaves."""
-        remaining_ms = waiting.deadline_at_ms - self._time.now_ms()
-        decision = waiting.decision.wait(
-            remaining_ms, caller.CallerDisconnectWatcher(request.connection)
-        )
-        if decision is None:
-            self._dispatcher.tell(messages.Withdraw(waiting.admission_id))
-            return messages.Rejected(503, 'no room in time', 0)
-        return decision
-
 
 class _ForwardedRequest:
     """One admitted request and its attempts."""
@@ -155,12 +143,16 @@
             match self._ask_retry(retry):
                 case messages.Assigned() as assigned:
                     self._assigned = assigned
-                case messages.NoRetry(_, retry_after_ms):
+                case messages.NoRetry(_, retry_after_ms) | messages.Rejected(
+                    _, _, retry_after_ms
+                ):
                     return response or self._build_error_response(
                         result, retry_after_ms
                     )
 
-    def _ask_retry(self, retry: messages.Retry) -> messages.RetryDecision:
+    def _ask_retry(
+        self, retry: messages.Retry
+    ) -> messages.Assigned | messages.NoRetry | messages.Rejected:
         """Ask for another server; end the request if there is no reply."""
         try:
             decision = self._dispatcher.ask(
@@ -173,6 +165,8 @@
             return messages.NoRetry(
                 'no reply from the dispatcher', OVERLOAD_RETRY_AFTER_MS
             )
+        if isinstance(decision, messages.Waiting):
+            return _wait(decision, self._request, self._dispatcher, self._time)
         return decision
 
     def _attempt(
@@ -309,6 +303,23 @@
         )
 
 
+def _wait(
+    waiting: messages.Waiting,
+    request: caller.CallerRequest,
+    dispatcher: pykka.ActorRef[Any],
+    time: clock.Clock,
+) -> messages.Assigned | messages.Rejected:
+    """Wait for a decision until the deadline or the caller leaves."""
+    remaining_ms = waiting.deadline_at_ms - time.now_ms()
+    decision = waiting.decision.wait(
+        remaining_ms, caller.CallerDisconnectWatcher(request.connection)
+    )
+    if decision is None:
+        dispatcher.tell(messages.Withdraw(waiting.admission_id))
+        return messages.Rejected(503, 'no room in time', 0)
+    return decision
+
+
 def _is_final(result: outcomes.AttemptResult) -> bool:
     """Return whether the request ends with this result."""
     match result:
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -29,6 +29,8 @@
     deadline_ms: int | None
     arrived_at_ms: int
     credentials: workspace_model.Credentials = workspace_model.NoKey()
+    # Held while the request waits.
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -344,6 +346,11 @@
     """Periodic trigger from the scheduler."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseDue:
+    """Reminder to look whether waiting requests have room."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GetMetrics:
     """Query for counters and histograms."""
@@ -358,4 +365,4 @@
 
 
 Decision = Assigned | Rejected | Waiting
-RetryDecision = Assigned | NoRetry
+RetryDecision = Assigned | NoRetry | Waiting
--- a/src/cardamomdeal/internal/deferred.py
+++ b/src/cardamomdeal/internal/deferred.py
@@ -38,6 +38,10 @@
             os.write(self._write_fd, b'\0')
             return True
 
+    def is_set(self) -> bool:
+        """Return whether the value was delivered."""
+        return self._value is not None
+
     def wait(self, timeout_ms: int, watcher: Watcher) -> Value | None:
         """Return the value, or None after the timeout or another event."""
         poller = select.poll()
--- a/src/cardamomdeal/settings/load.py
+++ b/src/cardamomdeal/settings/load.py
@@ -68,6 +68,7 @@
         memory_mb=validated.memory_mb,
         heartbeat_ms=validated.heartbeat,
         bounds=_bounds(validated.bounds),
+        admission_control=validated.admission_control,
     )
 
 
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -139,6 +139,8 @@
     # Interval at which backend servers renew their entries in the store.
     heartbeat_ms: int
     bounds: Bounds
+    # Whether requests wait or are refused while their service has no room.
+    admission_control: bool = True
 
 
 # Read only at start-up: addresses to listen on and published identity.
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -146,5 +146,7 @@
     # Interval at which backend servers renew their entries in the store.
     heartbeat: units.DurationMs = DEFAULT_HEARTBEAT_MS
     bounds: BoundsModel
+    # Let requests wait, or refuse them, while their service has no room.
+    admission_control: bool = True
     statsd: Address | None = None
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
--- a/tests/history/load_replay.py
+++ b/tests/history/load_replay.py
@@ -21,14 +21,18 @@
 from cardamomdeal.fleet import routes
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
+from cardamomdeal.internal import deferred
 from cardamomdeal.settings import model as settings_model
 
+URGENT_PATH = '/urgent/'
 ADDRESS = address.Address('10.0.0.1', 8_000)
 # One way between a host and a server.
 DELAY_MS = 1
 # A server with a full queue accepts fewer connections: it resets this share of
 # them, and refuses the requests on the others.
 RESET_SHARE = 0.5
+# The time after which a caller's thread notices a decision.
+WAIT_POLL_MS = 5
 # A gray server fails after a fraction of its usual work.
 FAILURE_MS = 20
 
@@ -52,6 +56,10 @@
     repeat_slack: float = 64.0
     # Until a report reaches all hosts.
     report_delay_ms: int = 60
+    # If greater, each report takes a time up to this one.
+    max_report_delay_ms: int = 0
+    # Share of the requests that go before the others.
+    urgent_share: float = 0.0
 
 
 class Server:
@@ -79,6 +87,7 @@
         """Run, queue or refuse a request."""
         rng = self._replay.rng
         is_full = len(self.waiting) >= self._replay.load.queue
+        self._replay.arrivals['rejected' if is_full else 'taken'] += 1
         if is_full and rng.random() < RESET_SHARE:
             request.answer(outcomes.Broken(2, 'reset'))
         elif is_full or rng.random() < self.refusing_share:
@@ -113,8 +122,9 @@
 class Request:
     """A caller's request at one host."""
 
-    def __init__(self, host: 'Host', request_id: str) -> None:
+    def __init__(self, host: 'Host', request_id: str, path: str = '/') -> None:
         self._host = host
+        self.path = path
         self._replay = host.replay
         self.started_ms = host.replay.clock.now_ms()
         self.attempt_ms = self.started_ms
@@ -125,14 +135,32 @@
         """Ask the dispatcher for a server."""
         decision = self._host.dispatcher.receive(
             messages.Admit(
-                self._request_id, 'shop.example', '/', None, self.started_ms
+                self._request_id,
+                'shop.example',
+                self.path,
+                None,
+                self.started_ms,
             )
         )
+        self._decide(decision)
+
+    def _decide(self, decision: Any) -> None:
         match decision:
             case messages.Assigned():
                 self._send(decision)
             case messages.Rejected(status):
                 self._replay.record(self, f'rejected {status}')
+            case messages.Waiting(_, deferred_decision):
+                self._replay.after(
+                    WAIT_POLL_MS, lambda: self._poll(deferred_decision)
+                )
+
+    def _poll(self, decision: deferred.Deferred[Any]) -> None:
+        """Look whether a decision was delivered, as a thread would wait."""
+        if not decision.is_set():
+            self._replay.after(WAIT_POLL_MS, lambda: self._poll(decision))
+            return
+        self._decide(decision.close())
 
     def latency_ms(self) -> int:
         """Return how long the present attempt has taken."""
@@ -163,8 +191,8 @@
             messages.Retry(admission_id, result)
         )
         match decision:
-            case messages.Assigned():
-                self._send(decision)
+            case messages.Assigned() | messages.Waiting():
+                self._decide(decision)
             case messages.NoRetry():
                 refused = isinstance(result, outcomes.NotExecuted)
                 self._replay.record(self, 'refused' if refused else 'failed')
@@ -188,25 +216,39 @@
                 repeat_slack=replay.load.repeat_slack,
                 capacity_floor=0.7,
             ),
+            admission_control=replay.admission_control,
         )
         self.dispatcher = dispatcher.Dispatcher(
-            settings, self, replay.clock, mock.Mock()
+            settings, self, replay.clock, self
         )
 
+    def after(self, actor: Any, message: Any, delay_ms: int) -> None:
+        """Send a message to the dispatcher later."""
+        del actor
+        self.replay.after(delay_ms, lambda: self.dispatcher.receive(message))
+
     def tell(self, observed: messages.Observation) -> None:
         """Tell other hosts what the dispatcher observed."""
-        self.replay.after(
-            self.replay.load.report_delay_ms,
-            lambda: self.replay.spread(self, observed),
-        )
+        load = self.replay.load
+        delay_ms = load.report_delay_ms
+        if load.max_report_delay_ms > delay_ms:
+            delay_ms = self.replay.rng.randint(
+                delay_ms, load.max_report_delay_ms
+            )
+        self.replay.after(delay_ms, lambda: self.replay.spread(self, observed))
 
 
 class Replay:
     """Fleet, servers and requests on a simulated clock."""
 
-    def __init__(self, load: Load, seed: int) -> None:
+    def __init__(
+        self, load: Load, seed: int, admission_control: bool = True
+    ) -> None:
         logging.disable(logging.CRITICAL)
         self.load = load
+        self.admission_control = admission_control
+        # What servers did with the requests that reached them.
+        self.arrivals: collections.Counter[str] = collections.Counter()
         self.rng = random.Random(seed)
         self.clock = clock.ManualClock(1_000_000)
         self._queue: list[Any] = []
@@ -219,6 +261,7 @@
         for host in self.hosts:
             # pylint: disable=protected-access
             host.dispatcher._rng = random.Random(f'{seed} {host.name}')
+            host.dispatcher._admission._rng = host.dispatcher._rng
             host.dispatcher.receive(messages.RoutesUpdated(table))
             host.dispatcher.receive(
                 messages.ServersUpdated(
@@ -245,12 +288,14 @@
 
     def record(self, request: Request, result: str) -> None:
         """Count the result of a request."""
-        del request
         self.results[result] += 1
+        self.results_of_path[request.path][result] += 1
 
     def run(self, duration_s: float) -> collections.Counter[str]:
         """Send requests for a time; return the results in it."""
         self.results = collections.Counter()
+        self.results_of_path = collections.defaultdict(collections.Counter)
+        self.arrivals.clear()
         end_ms = self.clock.now_ms() + round(duration_s * 1_000)
         arrival_ms = float(self.clock.now_ms())
         while True:
@@ -261,13 +306,16 @@
                 break
             number = next(self._numbers)
             host = self.rng.choice(self.hosts)
+            path = '/'
+            if self.rng.random() < self.load.urgent_share:
+                path = URGENT_PATH
             heapq.heappush(
                 self._queue,
                 (
                     round(arrival_ms),
                     number,
-                    lambda host=host, number=number: Request(
-                        host, f'r-{number}'
+                    lambda host=host, number=number, path=path: Request(
+                        host, f'r-{number}', path
                     ).start(),
                 ),
             )
@@ -278,9 +326,10 @@
         self.clock.advance(end_ms - self.clock.now_ms())
         return self.results
 
-    def share(self, *results: str) -> float:
-        """Return the share of some results among all."""
-        return sum(self.results[r] for r in results) / self.results.total()
+    def share(self, *results: str, path: str | None = None) -> float:
+        """Return the share of some results among all, or among a path's."""
+        counts = self.results_of_path[path] if path else self.results
+        return sum(counts[r] for r in results) / counts.total()
 
 
 def _configuration(load: Load) -> model.Configuration:
@@ -295,9 +344,12 @@
         max_attempts=load.max_attempts,
         targets=(model.WeightedService('orders', 1.0),),
     )
+    urgent = dataclasses.replace(
+        route, name='urgent', prefix=URGENT_PATH, priority=0
+    )
     return model.Configuration(
         1,
-        (route,),
+        (route, urgent),
         (model.Service('orders', 100),),
         model.Limits(16_384, 1_000, 3_000, 15_000),
     )
