--- a/src/cardamomdeal/admission/control.py
+++ b/src/cardamomdeal/admission/control.py
@@ -26,17 +26,18 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
+        self._usage = waiting.Usage()
         self._histories: dict[str, room.ServiceHistory] = (
             collections.defaultdict(room.ServiceHistory)
         )
         self._queues: dict[str, waiting.WaitingQueue] = (
-            collections.defaultdict(waiting.WaitingQueue)
+            collections.defaultdict(lambda: waiting.WaitingQueue(self._usage))
         )
 
     @property
     def waiting_count(self) -> int:
         """Return how many requests wait at this host."""
-        return sum(len(queue) for queue in self._queues.values())
+        return self._usage.count
 
     def services_waited_for(self) -> tuple[str, ...]:
         """Return the services that requests wait for."""
--- a/src/cardamomdeal/admission/room.py
+++ b/src/cardamomdeal/admission/room.py
@@ -191,7 +191,8 @@
     Spares the estimate where it is not needed.
     """
     busy = sum(
-        is_full_report(view.load)
+        view.load is not None
+        and view.load.is_full
         and now_ms - view.load_at_ms <= server_selection.LOAD_VALID_MS
         for view in views
     )
@@ -208,11 +209,6 @@
     )
 
 
-def is_full_report(load: outcomes.Load | None) -> bool:
-    """Return whether a report says that no slot is free."""
-    return load is not None and load.running + load.waiting >= load.slots
-
-
 def _is_usable(candidate: server_selection.Candidate, now_ms: int) -> bool:
     """Return whether a server runs requests.
 
@@ -224,9 +220,11 @@
     suspicion = candidate.suspicion
     if suspicion is None:
         return True
-    is_busy = is_full_report(
-        candidate.load
-    ) and server_selection.has_valid_load(candidate, now_ms)
+    is_busy = (
+        candidate.load is not None
+        and candidate.load.is_full
+        and server_selection.has_valid_load(candidate, now_ms)
+    )
     probability = suspicion.probability(now_ms)
     return is_busy or probability < failure_detector.SUSPECT_PROBABILITY
 
--- a/src/cardamomdeal/admission/waiting.py
+++ b/src/cardamomdeal/admission/waiting.py
@@ -7,7 +7,9 @@
 import dataclasses
 import random
 
-# A waiting request holds one of the 64 threads for callers.
+# A waiting request holds one of the 64 threads for callers; half of them are
+# left to requests that run.
+MAX_WAITING_PER_HOST = 32
 MAX_WAITING_PER_SERVICE = 16
 MAX_WAITING_BYTES = 16 * 1024**2
 # A host with waiting requests looks at the room again after this time.
@@ -19,6 +21,7 @@
     """What a request asks of a service, and what it is worth waiting for."""
 
     admission_id: int
+    request_id: str
     # The lowest is the most urgent.
     priority: int
     # None if it belongs to no workspace.
@@ -41,10 +44,19 @@
     since_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """What the waiting requests of all services of a host hold."""
+
+    count: int = 0
+    body_bytes: int = 0
+
+
 class WaitingQueue:
     """Bounded queue of the requests that wait for a service at this host."""
 
-    def __init__(self) -> None:
+    def __init__(self, usage: Usage) -> None:
+        self._usage = usage
         self._held: dict[int, Held] = {}
         self._finish_tags: dict[str | None, float] = {}
         self._virtual_time = 0.0
@@ -52,20 +64,17 @@
     def __len__(self) -> int:
         return len(self._held)
 
-    @property
-    def held_bytes(self) -> int:
-        """Return the bytes of the bodies of the waiting requests."""
-        return sum(held.demand.body_bytes for held in self._held.values())
-
     def admission_ids(self) -> tuple[int, ...]:
         """Return the requests that wait."""
         return tuple(self._held)
 
     def has_room_for(self, demand: Demand) -> bool:
         """Return whether the bounds allow one more request."""
+        held_bytes = self._usage.body_bytes + demand.body_bytes
         return (
             len(self._held) < MAX_WAITING_PER_SERVICE
-            and self.held_bytes + demand.body_bytes <= MAX_WAITING_BYTES
+            and self._usage.count < MAX_WAITING_PER_HOST
+            and held_bytes <= MAX_WAITING_BYTES
         )
 
     def ahead_of(self, demand: Demand) -> int:
@@ -80,6 +89,8 @@
         self._held[demand.admission_id] = Held(
             demand, self._charge(demand), now_ms
         )
+        self._usage.count += 1
+        self._usage.body_bytes += demand.body_bytes
 
     def charge(self, demand: Demand) -> None:
         """Count a request that runs at once while others wait."""
@@ -89,6 +100,9 @@
     def remove(self, admission_id: int) -> Held | None:
         """Remove a request that ended or is released."""
         held = self._held.pop(admission_id, None)
+        if held is not None:
+            self._usage.count -= 1
+            self._usage.body_bytes -= held.demand.body_bytes
         if not self._held:
             # Nobody competes any more, so what was had before is forgotten.
             self._finish_tags.clear()
--- a/src/cardamomdeal/balancing/outcomes.py
+++ b/src/cardamomdeal/balancing/outcomes.py
@@ -12,6 +12,11 @@
     waiting: int
     slots: int
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no slot is free."""
+        return self.running + self.waiting >= self.slots
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -8,8 +8,6 @@
 
 import pykka
 
-from cardamomdeal.admission import control
-from cardamomdeal.admission import room
 from cardamomdeal.admission import turning_away
 from cardamomdeal.admission import waiting
 from cardamomdeal.backend import connection
@@ -18,6 +16,7 @@
 from cardamomdeal.balancing import retry_budget
 from cardamomdeal.balancing import server_selection
 from cardamomdeal.balancing import server_views
+from cardamomdeal.entry import admission_gate
 from cardamomdeal.entry import messages
 from cardamomdeal.entry import server_tracker
 from cardamomdeal.fleet import model
@@ -67,6 +66,8 @@
     )
     sent_attempts: int = 1
     unsent_attempts: int = 0
+    # None unless it was sent while room was short.
+    expected: admission_gate.Expectation | None = None
     # Why the attempt before was not the last, if this is a repeat.
     repeat_reason: str | None = None
     # Delivers the decision if the request has to wait for it.
@@ -81,22 +82,22 @@
             return self.route.priority
         return self.workspace.priority
 
-    def demand(self, work_ms: float, now_ms: int) -> waiting.Demand:
+    def demand(self) -> waiting.Demand:
         """Return what the request asks of its service."""
         aim_ms = self.route.target_latency_ms
-        last_start_at_ms = self.deadline_at_ms - round(work_ms)
         aim_at_ms = self.deadline_at_ms
         if aim_ms is not None:
             aim_at_ms = min(aim_at_ms, self.admit.arrived_at_ms + aim_ms)
         quota = self.workspace and self.workspace.quota
         return waiting.Demand(
             self.admission_id,
+            self.admit.request_id,
             self.priority,
             self.workspace and self.workspace.name,
             max(MIN_WEIGHT, quota.rate_per_s) if quota else DEFAULT_WEIGHT,
             self.admit.body_bytes,
             aim_at_ms,
-            max(now_ms, last_start_at_ms),
+            self.deadline_at_ms - MIN_REMAINING_MS,
         )
 
 
@@ -117,7 +118,6 @@
         self._time = time
         self._rng = random.Random()
         self._routes: routes.RouteTable | None = None
-        self._admission = control.AdmissionControl(random.Random())
         self._is_release_scheduled = False
         self._servers = server_tracker.ServerTracker(synchronizer, time)
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = (
@@ -131,6 +131,10 @@
         self._is_stopping = False
         self._next_admission_id = 1
         self._counters: collections.Counter[str] = collections.Counter()
+        self._gate = admission_gate.AdmissionGate(
+            self._servers, self._counters
+        )
+        self._admission = self._gate.control
         self._histograms = histograms.LatencyHistograms()
 
     def on_start(self) -> None:
@@ -276,54 +280,17 @@
     ) -> turning_away.Decision:
         if not self._settings.admission_control:
             return turning_away.Run()
-        state = self._room(request.service, now_ms)
-        if state is None:
-            return turning_away.Run()
-        decision = self._admission.decide(
+        decision, request.expected = self._gate.decide(
             request.service,
-            request.demand(state.work_ms, now_ms),
-            state,
-            self._servers.host_count,
+            request.demand(),
             now_ms,
         )
-        match decision:
-            case turning_away.Wait() | turning_away.Refuse():
-                name = type(decision).__name__.lower()
-                self._counters[f'admission.{name}'] += 1
-                log.info(
-                    'no room for request now',
-                    extra={
-                        'request_id': request.admit.request_id,
-                        'decision': str(decision),
-                        'service': request.service,
-                        'priority': request.priority,
-                        'start_ms': round(state.start_ms),
-                        'spread_ms': round(state.spread_ms),
-                        'work_ms': round(state.work_ms),
-                        'report_age_ms': round(state.age_ms),
-                        'waiting_here': self._admission.waiting_count,
-                    },
-                )
         return decision
 
-    def _room(self, service: str, now_ms: int) -> room.Room | None:
-        """Return the room of a service that is short of it, else None."""
-        views = self._servers.views_of(service)
-        if not room.may_be_short(views, now_ms):
-            return None
-        return self._admission.room_of(
-            service,
-            [self._servers.candidate(view, 0, now_ms) for view in views],
-            now_ms,
-        )
-
     def _hold(self, request: _Request, now_ms: int) -> messages.Waiting:
         """Let a request wait for a slot."""
-        state = self._room(request.service, now_ms)
-        displaced = self._admission.hold(
-            request.service,
-            request.demand(state.work_ms if state else 0, now_ms),
-            now_ms,
+        displaced = self._gate.hold(
+            request.service, request.demand(), request.expected, now_ms
         )
         if displaced is not None:
             self._reject_waiting(
@@ -353,43 +320,21 @@
                     'no room in time',
                     self._servers.retry_after_ms(service, now_ms),
                 )
-            self._release(service, self._room(service, now_ms), now_ms, None)
+            self._release(service, now_ms)
         if self._admission.waiting_count:
             self._schedule_release()
 
     def _release(
         self,
         service: str,
-        state: room.Room | None,
         now_ms: int,
-        freed_slot: outcomes.Load | None,
+        freed_slot: outcomes.Load | None = None,
     ) -> None:
         """Send the request that is due first, if its turn has come."""
-        held = self._admission.release(
-            service,
-            state,
-            self._servers.host_count,
-            now_ms,
-            freed_slot=freed_slot,
-        )
-        if held is None:
-            return
-        request = self._requests[held.demand.admission_id]
-        waited_ms = now_ms - held.since_ms
-        self._counters['admission.released'] += 1
-        self._counters['admission.waited_ms'] += waited_ms
-        log.info(
-            'waiting request released',
-            extra={
-                'request_id': request.admit.request_id,
-                'service': service,
-                'waited_ms': waited_ms,
-                'start_ms': state and round(state.start_ms),
-                'report_age_ms': state and round(state.age_ms),
-                'freed_slot': freed_slot and dataclasses.astuple(freed_slot),
-            },
-        )
-        self._resume(request, self._decide_released(request, now_ms))
+        held = self._gate.release(service, now_ms, freed_slot)
+        if held is not None:
+            request = self._requests[held.demand.admission_id]
+            self._resume(request, self._decide_released(request, now_ms))
 
     def _decide_released(
         self, request: _Request, now_ms: int
@@ -512,13 +457,13 @@
             if view.server.incarnation not in request.tried_servers
         ]
         if self._settings.admission_control:
-            candidates = _without_full_servers(
-                candidates, request.route, now_ms
+            candidates = self._gate.feasible(
+                service,
+                request.priority,
+                request.route.kind,
+                candidates,
+                now_ms,
             )
-            if room.may_be_short(self._servers.views_of(service), now_ms):
-                candidates = self._admission.feasible(
-                    service, request.priority, candidates, now_ms
-                )
         selection = server_selection.select(
             candidates,
             server_selection.SelectionContext(
@@ -589,6 +534,7 @@
     ) -> messages.RetryDecision:
         request = self._requests[admission_id]
         self._record_result(request, result)
+        self._fill_freed_slot(request.service, result)
         now_ms = self._time.now_ms()
         match self._decide_repeat(request, result, now_ms):
             case turning_away.Wait():
@@ -634,7 +580,7 @@
         """
         can_repeat = request.sent_attempts < request.route.max_attempts
         match result:
-            case outcomes.NotExecuted(load=load) if room.is_full_report(load):
+            case outcomes.NotExecuted(load=load) if load and load.is_full:
                 if can_repeat and not self._is_stopping:
                     return self._decide_admission(request, now_ms)
         return turning_away.Run()
@@ -687,6 +633,7 @@
             self._servers.keep_connection(
                 request.attempt.view.server.incarnation, server_connection
             )
+        self._fill_freed_slot(request.service, result)
 
     def _record_result(
         self, request: _Request, result: outcomes.AttemptResult
@@ -701,32 +648,15 @@
                     request.service, request.route.name, latency_ms
                 )
         self._servers.record_result(request.attempt, result)
-        self._admission.record_result(request.service, result)
+        self._gate.record_result(request.service, request.expected, result)
+
+    def _fill_freed_slot(
+        self, service: str, result: outcomes.AttemptResult
+    ) -> None:
+        """Release a request to the slot that an answer tells of."""
         match result:
             case outcomes.Answered(load=outcomes.Load() as load):
-                self._release(request.service, None, self._time.now_ms(), load)
-
-
-def _without_full_servers(
-    candidates: list[server_selection.Candidate],
-    route: model.Route,
-    now_ms: int,
-) -> list[server_selection.Candidate]:
-    """Leave out the servers that would reset a new connection.
-
-    A request that must not run twice is lost by the reset, although no server
-    has seen it.
-    """
-    match route.kind:
-        case model.Idempotent():
-            return candidates
-        case model.NonIdempotent() | model.Upload():
-            return [
-                candidate
-                for candidate in candidates
-                if candidate.has_idle_connection
-                or not room.is_full(candidate, now_ms)
-            ]
+                self._release(service, self._time.now_ms(), load)
 
 
 def _deadline_at_ms(route: model.Route, admit: messages.Admit) -> int:
--- a/src/cardamomdeal/internal/deferred.py
+++ b/src/cardamomdeal/internal/deferred.py
@@ -29,6 +29,10 @@
         self._is_closed = False
         self._read_fd, self._write_fd = os.pipe()
 
+    def __del__(self) -> None:
+        """Close the pipe if nobody has waited."""
+        self.close()
+
     def set(self, value: Value) -> bool:
         """Deliver the value; return False if nobody waits any more."""
         with self._lock:
