--- a/src/cardamomdeal/admission/turning_away.py
+++ b/src/cardamomdeal/admission/turning_away.py
@@ -15,9 +15,10 @@
 # the next report, and cannot be put behind more urgent ones any more.
 QUEUED_PER_SLOT = 1.5
 # Each less urgent kind leaves this share of the line to those before it.
-SHARE_OF_LESS_URGENT = 0.5
-# A service whose more urgent kinds need everything still tries some others.
-MIN_CAPACITY_SHARE = 0.05
+SHARE_OF_LESS_URGENT = 2 / 3
+# Few arrivals at a host tell little of the rate of the more urgent kinds, so
+# they are not taken to need more than the rest of this share of the capacity.
+MIN_CAPACITY_SHARE = 0.25
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 5_000
 # Callers that are refused together return at times spread by this share.
@@ -100,13 +101,13 @@
 
     The other hosts are taken to hold as many requests before it as this one.
     """
-    capacity_per_s = max(
+    left_per_s = max(
         state.capacity_per_s * MIN_CAPACITY_SHARE,
         state.capacity_per_s - competition.urgent_per_s,
     )
     newest = competition.claims.arrivals_per_s * room.REACTION_MS / 1_000
-    line = ahead * competition.hosts + newest
-    return state.start_ms + line * 1_000 / capacity_per_s
+    line_ms = ahead * competition.hosts * 1_000 / left_per_s
+    return state.start_ms + line_ms + newest * 1_000 / state.capacity_per_s
 
 
 def _retry_after_ms(expected_ms: float, rng: random.Random) -> int:
