--- a/src/cardamomdeal/admission/control.py
+++ b/src/cardamomdeal/admission/control.py
@@ -17,7 +17,6 @@
 
 # Looks at the room in the time after which hosts know of what others sent.
 LOOKS_PER_REACTION = room.REACTION_MS / waiting.RELEASE_INTERVAL_MS
-
 log = logging.getLogger(__name__)
 
 
@@ -105,7 +104,7 @@
             demand,
             state,
             queue,
-            self._competition(service, demand, hosts, now_ms),
+            self._competition(service, demand, state, hosts, now_ms),
             now_ms,
             self._rng,
         )
@@ -160,7 +159,9 @@
         held = queue.first(now_ms)
         if held is None:
             return None
-        competition = self._competition(service, held.demand, hosts, now_ms)
+        competition = self._competition(
+            service, held.demand, state, hosts, now_ms
+        )
         limit = turning_away.queued_per_slot(competition.rank)
         if freed_slot is not None:
             in_line = freed_slot.running + freed_slot.waiting
@@ -179,16 +180,27 @@
         return held
 
     def _competition(
-        self, service: str, demand: waiting.Demand, hosts: int, now_ms: int
+        self,
+        service: str,
+        demand: waiting.Demand,
+        state: room.Room | None,
+        hosts: int,
+        now_ms: int,
     ) -> turning_away.Competition:
         history = self._histories[service]
-        ahead = self._queues[service].ahead_of(demand)
+        arrivals_per_s = (
+            history.arrivals_per_s(demand.priority, now_ms) * hosts
+        )
+        is_flooded = (
+            state is not None and arrivals_per_s > state.capacity_per_s
+        )
+        line = self._queues[service].line_before(demand, now_ms)
         return turning_away.Competition(
             history.rank(demand.priority, now_ms),
             room.Claims(
-                history.arrivals_per_s(demand.priority, now_ms) * hosts,
-                float(ahead * hosts),
+                arrivals_per_s,
+                line.at_all_hosts(arrivals_per_s, hosts, is_flooded),
             ),
             history.arrivals_per_s(demand.priority - 1, now_ms) * hosts,
-            hosts,
+            is_flooded,
         )
--- a/src/cardamomdeal/admission/turning_away.py
+++ b/src/cardamomdeal/admission/turning_away.py
@@ -13,7 +13,7 @@
 
 # Requests that may wait at a server for each slot. They keep slots busy until
 # the next report, and cannot be put behind more urgent ones any more.
-QUEUED_PER_SLOT = 1.5
+QUEUED_PER_SLOT = 1.25
 # Each less urgent kind leaves this share of the line to those before it.
 SHARE_OF_LESS_URGENT = 2 / 3
 # Few arrivals at a host tell little of the rate of the more urgent kinds, so
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Competition:
-    """Requests that a request competes with, and the number of hosts."""
+    """Requests that a request competes with."""
 
     # How many more urgent kinds the service has.
     rank: int
@@ -58,7 +58,8 @@
     claims: room.Claims
     # Rate of the more urgent requests at all hosts.
     urgent_per_s: float
-    hosts: int
+    # Whether more arrive than the servers can run.
+    is_flooded: bool = False
 
 
 def decide(
@@ -76,9 +77,12 @@
     )
     if not ahead and rng.random() < chance:
         return Run()
-    expected_ms = expected_wait_ms(state, ahead, competition)
+    expected_ms = expected_wait_ms(state, competition)
     retry_after_ms = _retry_after_ms(expected_ms, rng)
-    latest_ms = min(demand.last_start_at_ms, demand.aim_at_ms)
+    latest_ms = demand.last_start_at_ms
+    if competition.is_flooded:
+        # Waiting for longer would make all answers late and serve no more.
+        latest_ms = min(latest_ms, demand.aim_at_ms)
     if now_ms + expected_ms > latest_ms:
         return Refuse('no room in time', retry_after_ms)
     if queue.has_room_for(demand):
@@ -94,19 +98,14 @@
     return QUEUED_PER_SLOT * SHARE_OF_LESS_URGENT**rank
 
 
-def expected_wait_ms(
-    state: room.Room, ahead: int, competition: Competition
-) -> float:
-    """Return when a server is expected to start a request.
-
-    The other hosts are taken to hold as many requests before it as this one.
-    """
+def expected_wait_ms(state: room.Room, competition: Competition) -> float:
+    """Return when a server is expected to start a request."""
     left_per_s = max(
         state.capacity_per_s * MIN_CAPACITY_SHARE,
         state.capacity_per_s - competition.urgent_per_s,
     )
     newest = competition.claims.arrivals_per_s * room.REACTION_MS / 1_000
-    line_ms = ahead * competition.hosts * 1_000 / left_per_s
+    line_ms = competition.claims.waiting * 1_000 / left_per_s
     return state.start_ms + line_ms + newest * 1_000 / state.capacity_per_s
 
 
--- a/src/cardamomdeal/admission/waiting.py
+++ b/src/cardamomdeal/admission/waiting.py
@@ -52,6 +52,28 @@
     body_bytes: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """Requests at this host that are as urgent as one, or more."""
+
+    count: int
+    longest_wait_ms: int
+
+    def at_all_hosts(
+        self, arrivals_per_s: float, hosts: int, is_flooded: bool
+    ) -> float:
+        """Return how many are likely to wait at all hosts.
+
+        In a flood the other hosts hold about as many. Otherwise they hold no
+        more than have arrived since the first one; a burst at this host alone
+        is no long line.
+        """
+        if is_flooded:
+            return self.count * hosts
+        arrived = arrivals_per_s * self.longest_wait_ms / 1_000
+        return min(self.count * hosts, self.count + arrived)
+
+
 class WaitingQueue:
     """Bounded queue of the requests that wait for a service at this host."""
 
@@ -84,6 +106,15 @@
             for held in self._held.values()
         )
 
+    def line_before(self, demand: Demand, now_ms: int) -> Line:
+        """Return the waiting requests that are as urgent, or more."""
+        waits_ms = [
+            now_ms - held.since_ms
+            for held in self._held.values()
+            if held.demand.priority <= demand.priority
+        ]
+        return Line(len(waits_ms), max(waits_ms, default=0))
+
     def add(self, demand: Demand, now_ms: int) -> None:
         """Let a request wait."""
         self._held[demand.admission_id] = Held(
