--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -59,6 +59,8 @@
     deadline_at_ms: int
     # None if the request needs no key.
     workspace: workspace_model.Workspace | None
+    # Whether the configuration had workspaces at any attempt.
+    withholds_key: bool
     # None until a server is assigned.
     attempt: server_tracker.Attempt | None = None
     tried_servers: set[model.Incarnation] = dataclasses.field(
@@ -207,9 +209,15 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
-        workspace = self._authenticate(route, admit)
-        if isinstance(workspace, messages.Rejected):
-            return workspace
+        match self._authenticate(admit, route):
+            case workspace_model.Unrestricted():
+                workspace = None
+            case workspace_model.Authenticated(workspace):
+                pass
+            case workspace_model.Unauthenticated(reason):
+                return self._reject(admit, 401, reason)
+            case workspace_model.Unproven(reason, retry_after_ms):
+                return self._reject(admit, 503, reason, retry_after_ms)
         now_ms = self._time.now_ms()
         deadline_at_ms = _deadline_at_ms(route, admit)
         if deadline_at_ms - now_ms < MIN_REMAINING_MS:
@@ -226,6 +234,7 @@
             service,
             deadline_at_ms,
             workspace,
+            self._routes.key_index is not None,
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
@@ -233,21 +242,32 @@
         return self._place(request)
 
     def _authenticate(
-        self, route: model.Route, admit: messages.Admit
-    ) -> workspace_model.Workspace | messages.Rejected | None:
-        """Return the workspace of a request, if it needs one, or reject."""
+        self, admit: messages.Admit, route: model.Route
+    ) -> workspace_model.Authentication:
+        """Return whose request this is by the configuration in force."""
         assert self._routes is not None
-        match authentication.authenticate(
+        return authentication.authenticate(
             self._routes.key_index, route.is_public, admit.credentials
-        ):
+        )
+
+    def _authenticate_again(self, request: _Request) -> str | None:
+        """Return why a request that was admitted may run no more, if so.
+
+        A configuration may have taken its key away, or given it to another
+        workspace.
+        """
+        assert self._routes is not None
+        request.withholds_key |= self._routes.key_index is not None
+        match self._authenticate(request.admit, request.route):
             case workspace_model.Unrestricted():
-                return None
+                request.workspace = None
             case workspace_model.Authenticated(workspace):
-                return workspace
-            case workspace_model.Unauthenticated(reason):
-                return self._reject(admit, 401, reason)
-            case workspace_model.Unproven(reason, retry_after_ms):
-                return self._reject(admit, 503, reason, retry_after_ms)
+                request.workspace = workspace
+            case workspace_model.Unauthenticated(
+                reason
+            ) | workspace_model.Unproven(reason, _):
+                return reason
+        return None
 
     def _place(self, request: _Request) -> messages.Decision:
         """Assign a server to a request that may run now, or reject it."""
@@ -358,9 +378,13 @@
         route = self._routes.find(admit.hostname, admit.path)
         if route is None:
             return self._reject(admit, 404, 'no route for this path')
-        workspace = self._authenticate(route, admit)
-        if isinstance(workspace, messages.Rejected):
-            return workspace
+        match self._authenticate(admit, route):
+            case workspace_model.Unauthenticated(reason):
+                return self._reject(admit, 401, reason)
+            case workspace_model.Unproven(reason, retry_after_ms):
+                return self._reject(admit, 503, reason, retry_after_ms)
+        request.route = route
+        self._authenticate_again(request)
         if request.service not in {t.service for t in route.targets}:
             return self._reject(
                 admit, 503, 'the route has changed', STOPPING_RETRY_AFTER_MS
@@ -492,6 +516,7 @@
                 'servers': selection.usable_count,
                 'second_chance': selection.is_probe,
                 'hosts': self._servers.host_count,
+                'workspace': request.workspace and request.workspace.name,
             },
         )
         return self._servers.find(selected.server.incarnation)
@@ -527,6 +552,8 @@
             reused.connection if reused else None,
             request.deadline_at_ms,
             request.sent_attempts + request.unsent_attempts,
+            request.workspace and request.workspace.name,
+            request.withholds_key,
         )
 
     def _retry(
@@ -536,15 +563,17 @@
         self._record_result(request, result)
         self._fill_freed_slot(request.service, result)
         now_ms = self._time.now_ms()
-        match self._decide_repeat(request, result, now_ms):
-            case turning_away.Wait():
-                request.attempt = None
-                request.repeat_reason = type(result).__name__
-                return self._hold(request, now_ms)
-            case turning_away.Refuse(reason, retry_after_ms):
-                del self._requests[admission_id]
-                return messages.NoRetry(reason, retry_after_ms)
-        reason = self._no_retry_reason(request, result)
+        reason = self._authenticate_again(request)
+        if reason is None:
+            match self._decide_repeat(request, result, now_ms):
+                case turning_away.Wait():
+                    request.attempt = None
+                    request.repeat_reason = type(result).__name__
+                    return self._hold(request, now_ms)
+                case turning_away.Refuse(reason, retry_after_ms):
+                    del self._requests[admission_id]
+                    return messages.NoRetry(reason, retry_after_ms)
+            reason = self._no_retry_reason(request, result)
         if reason is None:
             view = self._select_server(request, self._time.now_ms())
             if view is not None:
--- a/tests/history/load_replay.py
+++ b/tests/history/load_replay.py
@@ -257,7 +257,7 @@
         servers = [Server(self, n) for n in range(load.servers)]
         self.servers = {s.entry.server_id: s for s in servers}
         self.hosts = [Host(self, n) for n in range(load.hosts)]
-        table = routes.build(_configuration(load))
+        table = routes.build(configuration(load))
         for host in self.hosts:
             # pylint: disable=protected-access
             host.dispatcher._rng = random.Random(f'{seed} {host.name}')
@@ -332,7 +332,8 @@
         return sum(counts[r] for r in results) / counts.total()
 
 
-def _configuration(load: Load) -> model.Configuration:
+def configuration(load: Load) -> model.Configuration:
+    """Return a configuration whose routes lead to the servers."""
     route = model.Route(
         name='all',
         hostname='shop.example',
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -1,5 +1,6 @@
 """Admission: room of a service, waiting requests, refusals."""
 
+import dataclasses
 import logging
 import random
 import unittest
@@ -306,6 +307,18 @@
         self.dispatcher.receive(messages.ReleaseDue())
         self.assertEqual(held.decision.close().status, 404)
 
+    def test_key_is_checked_again(self):
+        """The key was taken away while its request waited."""
+        held = self.wait()
+        load = self.replay.load
+        keyed = dataclasses.replace(
+            load_replay.configuration(load), version=2, workspaces=()
+        )
+        self.dispatcher.receive(messages.RoutesUpdated(routes.build(keyed)))
+        self.report(running=1, in_line=0)
+        self.dispatcher.receive(messages.ReleaseDue())
+        self.assertEqual(held.decision.close().status, 401)
+
     def test_rejection_by_a_full_server_waits(self):
         """A repeat to another full server spent the budget for nothing."""
         self.report(running=1, in_line=0)
