Leave admission control off unless the settings ask for it

Which input of the estimate is wrong is not known.

Change: the setting is false by default. Arrivals older than the window are dropped when one is recorded; before, they were kept for as long as room was not short.

--- a/src/cardamomdeal/admission/room.py
+++ b/src/cardamomdeal/admission/room.py
@@ -98,6 +98,7 @@
     def record_arrival(self, priority: int, now_ms: int) -> None:
         """Count a request of a caller."""
         self._arrivals.append((now_ms, priority))
+        self._expire(now_ms)
 
     def record_result(self, result: outcomes.AttemptResult) -> None:
         """Measure the work of a request, without its wait at the server.
@@ -118,11 +119,14 @@
 
     def arrivals_per_s(self, priority: int, now_ms: int) -> float:
         """Return the rate of requests that are as urgent, or more."""
-        while self._arrivals and self._arrivals[0][0] <= now_ms - WINDOW_MS:
-            self._arrivals.popleft()
+        self._expire(now_ms)
         count = sum(seen <= priority for _, seen in self._arrivals)
         return count * 1_000 / WINDOW_MS
 
+    def _expire(self, now_ms: int) -> None:
+        while self._arrivals and self._arrivals[0][0] <= now_ms - WINDOW_MS:
+            self._arrivals.popleft()
+
     def rank(self, priority: int, now_ms: int) -> int:
         """Return how many more urgent priorities were seen lately."""
         return len(
--- a/src/cardamomdeal/settings/model.py
+++ b/src/cardamomdeal/settings/model.py
@@ -140,7 +140,7 @@
     heartbeat_ms: int
     bounds: Bounds
     # Whether requests wait or are refused while their service has no room.
-    admission_control: bool = True
+    admission_control: bool = False
 
 
 # Read only at start-up: addresses to listen on and published identity.
--- a/src/cardamomdeal/settings/schema.py
+++ b/src/cardamomdeal/settings/schema.py
@@ -147,6 +147,6 @@
     heartbeat: units.DurationMs = DEFAULT_HEARTBEAT_MS
     bounds: BoundsModel
     # Let requests wait, or refuse them, while their service has no room.
-    admission_control: bool = True
+    admission_control: bool = False
     statsd: Address | None = None
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
