--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -8,12 +8,15 @@
 
 import pykka
 
+from cardamomdeal.admission import turning_away
+from cardamomdeal.admission import waiting
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import idle_connections
 from cardamomdeal.balancing import outcomes
 from cardamomdeal.balancing import retry_budget
 from cardamomdeal.balancing import server_selection
 from cardamomdeal.balancing import server_views
+from cardamomdeal.entry import admission_gate
 from cardamomdeal.entry import messages
 from cardamomdeal.entry import quota_gate
 from cardamomdeal.entry import server_tracker
@@ -41,6 +44,9 @@
 # route nor the retry budget, so they have a limit of their own.
 MAX_UNSENT_ATTEMPTS = 6
 DEFAULT_TIMEOUT_MS = 30_000
+# Weights in the fair shares of a service.
+DEFAULT_WEIGHT = 1.0
+MIN_WEIGHT = 0.01
 
 log = logging.getLogger(__name__)
 
@@ -68,6 +74,10 @@
     may_have_run: bool = False
     sent_attempts: int = 1
     unsent_attempts: int = 0
+    # None unless it was sent while room was short.
+    expected: admission_gate.Expectation | None = None
+    # Why the attempt before was not the last, if this is a repeat.
+    repeat_reason: str | None = None
     # Delivers the decision if the request has to wait for it.
     reply: deferred.Deferred[messages.Assigned | messages.Rejected] | None = (
         None
@@ -80,6 +90,24 @@
             return self.route.priority
         return self.workspace.priority
 
+    def demand(self) -> waiting.Demand:
+        """Return what the request asks of its service."""
+        aim_ms = self.route.target_latency_ms
+        aim_at_ms = self.deadline_at_ms
+        if aim_ms is not None:
+            aim_at_ms = min(aim_at_ms, self.admit.arrived_at_ms + aim_ms)
+        quota = self.workspace and self.workspace.quota
+        return waiting.Demand(
+            self.admission_id,
+            self.admit.request_id,
+            self.priority,
+            self.workspace and self.workspace.name,
+            max(MIN_WEIGHT, quota.rate_per_s) if quota else DEFAULT_WEIGHT,
+            self.admit.body_bytes,
+            aim_at_ms,
+            self.deadline_at_ms - MIN_REMAINING_MS,
+        )
+
 
 class Dispatcher(actor.Actor):
     """Actor that decides which server runs a request, and when."""
@@ -99,6 +127,7 @@
         self._rng = random.Random()
         self._routes: routes.RouteTable | None = None
         self._proof = proof.ConfigurationProof(settings.bounds)
+        self._is_release_scheduled = False
         self._servers = server_tracker.ServerTracker(synchronizer, time)
         self._quotas = quota_gate.QuotaGate(
             self.actor_ref,
@@ -119,6 +148,10 @@
         self._is_stopping = False
         self._next_admission_id = 1
         self._counters: collections.Counter[str] = collections.Counter()
+        self._gate = admission_gate.AdmissionGate(
+            self._servers, self._counters
+        )
+        self._admission = self._gate.control
         self._histograms = histograms.LatencyHistograms()
 
     def on_start(self) -> None:
@@ -143,6 +176,7 @@
             case messages.StopAdmitting():
                 self._is_stopping = True
                 self._quotas.stop()
+                self._refuse_waiting()
                 log.info(
                     'new requests are refused from now on',
                     extra={'in_flight': len(self._requests)},
@@ -171,12 +205,15 @@
                 | messages.WakeQuotas()
             ):
                 self._quotas.receive(message)
+            case messages.ReleaseDue():
+                self._is_release_scheduled = False
+                self._release_all()
             case messages.Tick():
                 self._servers.close_expired_connections()
             case messages.GetMetrics():
                 return messages.Metrics(
                     {
-                        **self._counters,
+                        **self.counters(),
                         **self._gauges(),
                         **self._quotas.metrics(),
                     },
@@ -188,6 +225,12 @@
         age_ms = self._proof.age_ms(self._time.now_ms())
         return {} if age_ms is None else {'proof.age_ms': age_ms}
 
+    def counters(self) -> collections.Counter[str]:
+        """Return the counts of events, and of requests that wait now."""
+        counters = self._counters.copy()
+        counters['waiting_now'] = self._admission.waiting_count
+        return counters
+
     def _admit(self, admit: messages.Admit) -> messages.Decision:
         if self._is_stopping:
             # The process would exit before the server has answered.
@@ -292,6 +335,10 @@
     def _place_first(self, request: _Request) -> messages.Decision:
         """Count a request that its service is to run, and place it."""
         self._servers.record_request(request.service)
+        if self._settings.admission_control:
+            self._admission.record_arrival(
+                request.service, request.priority, self._time.now_ms()
+            )
         return self._place(request)
 
     def _authenticate(
@@ -342,6 +389,27 @@
                         request, 503, reason, retry_after_ms
                     )
         now_ms = self._time.now_ms()
+        match self._decide_admission(request, now_ms):
+            case turning_away.Wait() if self._is_stopping:
+                # The requests that wait have been refused already.
+                return self._end_unassigned(
+                    request,
+                    503,
+                    'this host is stopping',
+                    STOPPING_RETRY_AFTER_MS,
+                )
+            case turning_away.Wait():
+                return self._hold(request, now_ms)
+            case turning_away.Refuse(reason, retry_after_ms):
+                return self._end_unassigned(
+                    request, 503, reason, retry_after_ms
+                )
+        return self._send(request, now_ms)
+
+    def _send(
+        self, request: _Request, now_ms: int
+    ) -> messages.Assigned | messages.Rejected:
+        """Assign a server now, or reject the request."""
         view = self._select_server(request, now_ms)
         if view is None:
             return self._end_unassigned(
@@ -352,6 +420,123 @@
             )
         return self._assign(request, view)
 
+    def _decide_admission(
+        self, request: _Request, now_ms: int
+    ) -> turning_away.Decision:
+        if not self._settings.admission_control:
+            return turning_away.Run()
+        decision, request.expected = self._gate.decide(
+            request.service,
+            request.demand(),
+            now_ms,
+        )
+        return decision
+
+    def _hold(self, request: _Request, now_ms: int) -> messages.Waiting:
+        """Let a request wait for a slot."""
+        decision = self._defer(request)
+        displaced = self._gate.hold(
+            request.service, request.demand(), request.expected, now_ms
+        )
+        if displaced is not None:
+            self._reject_waiting(
+                displaced.admission_id,
+                'a more urgent request waits',
+                waiting.RELEASE_INTERVAL_MS,
+            )
+        self._schedule_release()
+        return decision
+
+    def _schedule_release(self) -> None:
+        if not self._is_release_scheduled:
+            self._is_release_scheduled = True
+            self._timers.after(
+                self.actor_ref,
+                messages.ReleaseDue(),
+                waiting.RELEASE_INTERVAL_MS,
+            )
+
+    def _release_all(self) -> None:
+        """Release the requests whose turn has come."""
+        now_ms = self._time.now_ms()
+        for service in self._admission.services_waited_for():
+            for held in self._admission.pop_expired(service, now_ms):
+                self._reject_waiting(
+                    held.demand.admission_id,
+                    'no room in time',
+                    self._servers.retry_after_ms(service, now_ms),
+                )
+            self._release(service, now_ms)
+        if self._admission.waiting_count:
+            self._schedule_release()
+
+    def _release(
+        self,
+        service: str,
+        now_ms: int,
+        freed_slot: outcomes.Load | None = None,
+    ) -> None:
+        """Send the request that is due first, if its turn has come."""
+        held = self._gate.release(service, now_ms, freed_slot)
+        if held is not None:
+            request = self._requests[held.demand.admission_id]
+            self._resume(request, self._decide_released(request, now_ms))
+
+    def _decide_released(
+        self, request: _Request, now_ms: int
+    ) -> messages.Assigned | messages.Rejected:
+        """Check a request once more after its wait, and send it."""
+        rejected = self._recheck(request)
+        if rejected is not None:
+            del self._requests[request.admission_id]
+            self._return_token(request)
+            return rejected
+        if request.repeat_reason is not None:
+            reason = self._no_budget_reason(request, now_ms)
+            if reason is not None:
+                return self._end_unassigned(request, 503, reason, 0)
+            self._counters['repeats'] += 1
+        return self._send(request, now_ms)
+
+    def _recheck(self, request: _Request) -> messages.Rejected | None:
+        """Reject a request that the present configuration forbids."""
+        assert self._routes is not None
+        admit = request.admit
+        route = self._routes.find(admit.hostname, admit.path)
+        if route is None:
+            return self._reject(admit, 404, 'no route for this path')
+        match self._authenticate(admit, route):
+            case workspace_model.Unauthenticated(reason):
+                return self._reject(admit, 401, reason)
+            case workspace_model.Unproven(reason, retry_after_ms):
+                return self._reject(admit, 503, reason, retry_after_ms)
+        request.route = route
+        self._authenticate_again(request)
+        if request.service not in {t.service for t in route.targets}:
+            return self._reject(
+                admit, 503, 'the route has changed', STOPPING_RETRY_AFTER_MS
+            )
+        return None
+
+    def _refuse_waiting(self) -> None:
+        """Reject all waiting requests; no server has seen them."""
+        for admission_id in self._admission.waiting_ids():
+            self._admission.remove(
+                self._requests[admission_id].service, admission_id
+            )
+            self._reject_waiting(
+                admission_id, 'this host is stopping', STOPPING_RETRY_AFTER_MS
+            )
+
+    def _reject_waiting(
+        self, admission_id: int, reason: str, retry_after_ms: int
+    ) -> None:
+        request = self._requests[admission_id]
+        self._resume(
+            request,
+            self._end_unassigned(request, 503, reason, retry_after_ms),
+        )
+
     def _end_unassigned(
         self,
         request: _Request,
@@ -398,6 +583,8 @@
     def _withdraw(self, admission_id: int) -> None:
         """End a request whose caller has left or whose wait was too long."""
         request = self._requests.pop(admission_id, None)
+        if request is not None:
+            self._admission.remove(request.service, admission_id)
         if request is not None and request.attempt is not None:
             # A server was assigned while the message was on its way.
             self._servers.record_result(request.attempt, outcomes.CallerLeft())
@@ -437,6 +624,14 @@
             for view in self._servers.views_of(service)
             if view.server.incarnation not in request.tried_servers
         ]
+        if self._settings.admission_control:
+            candidates = self._gate.feasible(
+                service,
+                request.priority,
+                request.route.kind,
+                candidates,
+                now_ms,
+            )
         selection = server_selection.select(
             candidates,
             server_selection.SelectionContext(
@@ -510,10 +705,21 @@
     ) -> messages.RetryDecision:
         request = self._requests[admission_id]
         self._record_result(request, result)
+        self._fill_freed_slot(request.service, result)
+        now_ms = self._time.now_ms()
         refusal = self._authenticate_again(request)
         if refusal is not None:
             reason = refusal.reason
         else:
+            match self._decide_repeat(request, result, now_ms):
+                case turning_away.Wait():
+                    request.attempt = None
+                    request.repeat_reason = type(result).__name__
+                    return self._hold(request, now_ms)
+                case turning_away.Refuse(reason, retry_after_ms):
+                    del self._requests[admission_id]
+                    self._return_token(request)
+                    return messages.NoRetry(reason, retry_after_ms)
             reason = self._no_retry_reason(request, result)
         if reason is None:
             view = self._select_server(request, self._time.now_ms())
@@ -538,6 +744,30 @@
         self._return_token(request)
         return messages.NoRetry(reason, retry_after_ms)
 
+    def _decide_repeat(
+        self,
+        request: _Request,
+        result: outcomes.AttemptResult,
+        now_ms: int,
+    ) -> turning_away.Decision:
+        """Return whether a repeat goes out now.
+
+        A full server has rejected the request, and another full one would
+        reject it again at the cost of a retry.
+        """
+        can_repeat = (
+            request.sent_attempts < request.route.max_attempts
+            and any(
+                view.server.incarnation not in request.tried_servers
+                for view in self._servers.views_of(request.service)
+            )
+        )
+        match result:
+            case outcomes.NotExecuted(load=load) if load and load.is_full:
+                if can_repeat and not self._is_stopping:
+                    return self._decide_admission(request, now_ms)
+        return turning_away.Run()
+
     def _no_retry_reason(
         self, request: _Request, result: outcomes.AttemptResult
     ) -> str | None:
@@ -556,6 +786,10 @@
                 match request.route.kind:
                     case model.NonIdempotent() | model.Upload():
                         return 'the request may have run'
+        return self._no_budget_reason(request, now_ms)
+
+    def _no_budget_reason(self, request: _Request, now_ms: int) -> str | None:
+        """Spend one retry, or return why there is none."""
         if request.sent_attempts >= request.route.max_attempts:
             return 'no attempts left'
         if not self._retry_budgets[request.service].try_spend(
@@ -577,12 +811,15 @@
             if server_connection is not None:
                 server_connection.close()
             return
+        # It may have begun to wait after its forwarder had given up.
+        self._admission.remove(request.service, admission_id)
         self._record_result(request, result)
         self._return_token(request)
         if server_connection is not None and request.attempt is not None:
             self._servers.keep_connection(
                 request.attempt.view.server.incarnation, server_connection
             )
+        self._fill_freed_slot(request.service, result)
 
     def _record_result(
         self, request: _Request, result: outcomes.AttemptResult
@@ -598,6 +835,16 @@
                     request.service, request.route.name, latency_ms
                 )
         self._servers.record_result(request.attempt, result)
+        if self._settings.admission_control:
+            self._gate.record_result(request.service, request.expected, result)
+
+    def _fill_freed_slot(
+        self, service: str, result: outcomes.AttemptResult
+    ) -> None:
+        """Release a request to the slot that an answer tells of."""
+        match result:
+            case outcomes.Answered(load=outcomes.Load() as load):
+                self._release(service, self._time.now_ms(), load)
 
 
 def _deadline_at_ms(route: model.Route, admit: messages.Admit) -> int:
--- a/src/cardamomdeal/internal/deferred.py
+++ b/src/cardamomdeal/internal/deferred.py
@@ -29,6 +29,10 @@
         self._is_closed = False
         self._read_fd, self._write_fd = os.pipe()
 
+    def __del__(self) -> None:
+        """Close the pipe if nobody has waited."""
+        self.close()
+
     def set(self, value: Value) -> bool:
         """Deliver the value; return False if nobody waits any more."""
         with self._lock:
@@ -38,6 +42,10 @@
             os.write(self._write_fd, b'\0')
             return True
 
+    def is_set(self) -> bool:
+        """Return whether the value was delivered."""
+        return self._value is not None
+
     def wait(self, timeout_ms: int, watcher: Watcher) -> Value | None:
         """Return the value, or None after the timeout or another event."""
         poller = select.poll()
