Forget hosts that left before their changes are pruned

What callers saw: nothing yet; found in a review. A host that kept quotas and had no call for 60 s after another host left got no list of hosts any more, so it asked hosts that had gone and refused requests with quotas. Cause: set_hosts pruned the times of changes before _forget_left read the one of a host that left: KeyError, again at each later list. Evidence: the new test failed with KeyError in _forget_left.

--- a/src/cardamomdeal/workspaces/lenders.py
+++ b/src/cardamomdeal/workspaces/lenders.py
@@ -88,6 +88,7 @@
 
     def set_hosts(self, names: Iterable[str], now_ms: int) -> None:
         """Replace the hosts that are present."""
+        self._forget_left(now_ms)
         present = frozenset(names)
         if self._present:
             for name in present ^ self._present:
@@ -109,7 +110,6 @@
         }
         for name in joined:
             self._insert(name)
-        self._forget_left(now_ms)
 
     def record_absence(self, now_ms: int) -> None:
         """Record that others may have seen this host leave until now."""
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -295,6 +295,15 @@
             quotas.Undisputed(self.now_ms - 1), self.role(self.first).standing
         )
 
+    def test_host_that_left_is_forgotten_after_a_pause(self):
+        """Nothing asks for a role for as long as changes are remembered."""
+        rest = set(self.all) - {self.first_name}
+        self.second.set_hosts(rest, self.now_ms)
+        self.now_ms += lenders.MAX_MEMORY_MS
+        self.second.set_hosts(rest, self.now_ms)
+        self.assertEqual(frozenset(), self.second.left)
+        self.assertIsInstance(self.role(self.second), lenders.Lending)
+
     def test_restarted_stand_in_keeps_to_an_earlier_promise(self):
         restarted = lenders.Lenders(self.second_name, self.now_ms)
         restarted.set_hosts(self.all, self.now_ms)
