Probe the fleet when a question about quotas arrives

What callers saw: while the store was away, requests of a workspace that had not been used shortly before waited 0.6 s and got 503 (no lender). Cause: without a fresh view a host lends only if probes show that it reaches most hosts, and it probed only while it had a bucket. A lender without one answered Elsewhere for ever, so it never got one.

--- a/src/cardamomdeal/entry/quota_lending.py
+++ b/src/cardamomdeal/entry/quota_lending.py
@@ -120,6 +120,8 @@
         session.heard_at_ms = now_ms
         if not session.is_new(message.sequence):
             return
+        # Without a bucket, nothing else finds out whom this host reaches.
+        self._hosts.probe(now_ms)
         for returned in message.returned:
             self.take_back(
                 returned.workspace, returned.counted_until_ms, returned.tokens
--- a/tests/history/test_quotas.py
+++ b/tests/history/test_quotas.py
@@ -693,6 +693,18 @@
         for share in self.report(fleet, 'store away', 18_000).values():
             self.assertLessEqual(share, MAX_REFUSED_IN_CALM)
 
+    def test_quota_first_used_during_an_outage_of_the_store_is_lent(self):
+        """A lender without a bucket did not find out whom it reaches."""
+        fleet = self.fleet(HOSTS, WORKSPACES, seed=7)
+        fleet.is_store_up = False
+        fleet.run(5_000)
+        self.load_all(fleet, 10_000)
+        fleet.run(11_000)
+        self.assert_all_decided(fleet)
+        self.assert_within_bounds(fleet)
+        for share in self.report(fleet, 'first use', 18_000).values():
+            self.assertLessEqual(share, MAX_REFUSED_IN_CALM)
+
     def test_return_of_the_store_refuses_little(self):
         """Lenders cannot tell an outage of the store from a cut."""
         fleet = self.fleet(HOSTS, WORKSPACES, seed=7)
