Resume requests by a message once their quotas are decided

What callers saw: a request that came while another one's token became usable could wait until its deadline although it had been granted a token. Cause: admit resumed the requests decided on so far. One that no server could run gave its token back, which was granted to the request in admission; its reply did not exist yet, so the decision reached nobody. Evidence: the new test (Quota(20, 1), the servers gone) got no decision. Change: admit and give_back tell the dispatcher ResumeRequests instead. That also ends the recursion of rejections that grant each other's tokens.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -169,6 +169,7 @@
                 | messages.QuotaDatagram()
                 | messages.FlushQuotas()
                 | messages.WakeQuotas()
+                | messages.ResumeRequests()
             ):
                 self._quotas.receive(message)
             case messages.Tick():
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -265,7 +265,14 @@
     """Reminder that a token or an answer is due."""
 
 
-QuotaEvent = HostsSeen | QuotaDatagram | FlushQuotas | WakeQuotas
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumeRequests:
+    """Reminder to go on with requests whose quotas were decided on."""
+
+
+QuotaEvent = (
+    HostsSeen | QuotaDatagram | FlushQuotas | WakeQuotas | ResumeRequests
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/entry/quota_borrowing.py
+++ b/src/cardamomdeal/entry/quota_borrowing.py
@@ -74,6 +74,11 @@
         """Return whether there are questions or tokens to send."""
         return bool(self._questions or self._returns)
 
+    @property
+    def has_decided(self) -> bool:
+        """Return whether it was decided on requests that wait."""
+        return bool(self._decided)
+
     def denied_by_workspace(self) -> dict[str, int]:
         """Return counters of the largest workspaces and of the rest."""
         largest = self._denied_by_workspace.most_common(REPORTED_WORKSPACES)
--- a/src/cardamomdeal/entry/quota_gate.py
+++ b/src/cardamomdeal/entry/quota_gate.py
@@ -42,6 +42,7 @@
         self._workspaces: keys.Workspaces = ()
         self._wake_at_ms: int | None = None
         self._is_flush_due = False
+        self._is_resume_due = False
 
     def admit(
         self, admission_id: int, workspace: workspace_model.Workspace | None
@@ -52,7 +53,7 @@
         decision = self._keeper.request(
             admission_id, workspace, self._time.now_ms()
         )
-        self._run()
+        self._arrange_next_steps()
         return decision
 
     def withdraw(
@@ -64,7 +65,7 @@
     def give_back(self, token: token_holder.Token) -> None:
         """Take back the token of a request that no server ran."""
         self._keeper.give_back(token, self._time.now_ms())
-        self._run()
+        self._arrange_next_steps()
 
     def set_routes(self, table: routes.RouteTable) -> None:
         """Replace the workspaces of the configuration in force."""
@@ -103,6 +104,8 @@
                     return
                 self._wake_at_ms = None
                 self._keeper.wake(now_ms)
+            case messages.ResumeRequests():
+                self._is_resume_due = False
         self._run()
 
     def metrics(self) -> dict[str, int]:
@@ -113,6 +116,14 @@
         """Do what the keeper has decided, and see to its next steps."""
         for admission_id, outcome in self._keeper.pop_decided():
             self._resume(admission_id, outcome)
+        self._arrange_next_steps()
+
+    def _arrange_next_steps(self) -> None:
+        """See to it that the keeper's next steps are taken when due."""
+        if self._keeper.has_decided and not self._is_resume_due:
+            # Not at once: the caller may be in the middle of a request.
+            self._is_resume_due = True
+            self._owner.tell(messages.ResumeRequests())
         if self._keeper.has_sends and not self._is_flush_due:
             # What further messages ask for until then goes with it.
             self._is_flush_due = True
--- a/src/cardamomdeal/entry/quota_keeper.py
+++ b/src/cardamomdeal/entry/quota_keeper.py
@@ -105,6 +105,11 @@
         """Take back the token of a request that no server ran."""
         self._borrowing.give_back(token, now_ms)
 
+    @property
+    def has_decided(self) -> bool:
+        """Return whether it was decided on requests that wait."""
+        return self._borrowing.has_decided
+
     def pop_decided(self) -> list[quota_borrowing.Decided]:
         """Return the requests on which it was decided since."""
         return self._borrowing.pop_decided()
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -228,6 +228,27 @@
         self.assertEqual(listed.peers, to)
         self.assertEqual(protocol.LendingConsent(5, 'none'), answer)
 
+    def handle_told(self):
+        """Let the dispatcher handle what it has told itself."""
+        inbox = self.dispatcher.actor_inbox
+        while not inbox.empty():
+            self.send(inbox.get().message)
+
+    def test_token_of_a_rejected_request_goes_to_one_that_is_new(self):
+        """It was granted before the caller's thread could wait for it."""
+        self.configure(workspace_model.Quota(20.0, 1.0))
+        self.clock.advance(10_000)
+        self.assertIsInstance(self.admit(), messages.Assigned)
+        waiting = [self.admit()]
+        self.send(messages.ServersUpdated((), 1))
+        self.clock.advance(50)
+        waiting.append(self.admit())
+        self.handle_told()
+        for waits in waiting:
+            decision = waits.decision.wait(0, mock.Mock())
+            self.assertEqual(503, decision.status)
+        self.assertEqual(1, len(self.dispatcher._requests))
+
     def test_request_whose_caller_left_returns_its_token(self):
         lender = self.lender()
         self.see(self.own, lender)
