Withdraw requests whose placing failed or whose decision is not awaited

What callers saw: by reading, none yet. After an exception while a request was placed its slot and its quota's token stayed in use for good; the other requests decided on with it got no decision; and a server could be assigned to a request for which no thread waits. Cause: the request was recorded before it was placed and nothing took it back; the loop over decisions ended at the first exception; a decision without a reply was taken for delivered. Change: _admit withdraws the request and raises the exception again, each resumed request is guarded by itself, and no reply counts as a refused one.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -233,7 +233,11 @@
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
-        return self._check_quota(request)
+        try:
+            return self._check_quota(request)
+        except Exception:
+            self._withdraw(request.admission_id)
+            raise
 
     def _check_quota(self, request: _Request) -> messages.Decision:
         """Place a request if its workspace's quota permits, or reject it."""
@@ -389,8 +393,8 @@
     ) -> None:
         """Deliver the decision on a request that was deferred."""
         reply, request.reply = request.reply, None
-        if reply is not None and not reply.set(decision):
-            # The caller's thread has withdrawn meanwhile.
+        if reply is None or not reply.set(decision):
+            # No thread waits for it, or it has withdrawn meanwhile.
             self._withdraw(request.admission_id)
             match decision:
                 case messages.Assigned(connection=unused) if unused:
--- a/src/cardamomdeal/entry/quota_gate.py
+++ b/src/cardamomdeal/entry/quota_gate.py
@@ -1,6 +1,7 @@
 """Connects the quota keeper with the dispatcher's messages and timers."""
 
 from collections.abc import Callable
+import logging
 import random
 from typing import Any
 
@@ -18,6 +19,8 @@
 
 Resume = Callable[[int, token_holder.Outcome], None]
 
+log = logging.getLogger(__name__)
+
 
 class QuotaGate:
     """Quotas of the requests of this host; owned by the dispatcher."""
@@ -115,7 +118,13 @@
     def _run(self) -> None:
         """Do what the keeper has decided, and see to its next steps."""
         for admission_id, outcome in self._keeper.pop_decided():
-            self._resume(admission_id, outcome)
+            try:
+                self._resume(admission_id, outcome)
+            except Exception:
+                # The other requests were decided on as well.
+                log.exception(
+                    'request not resumed', extra={'admission_id': admission_id}
+                )
         self._arrange_next_steps()
 
     def _arrange_next_steps(self) -> None:
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -249,6 +249,51 @@
             self.assertEqual(503, decision.status)
         self.assertEqual(1, len(self.dispatcher._requests))
 
+    def test_request_that_could_not_be_placed_is_forgotten(self):
+        """Its slot and its token were in use for good."""
+        self.configure(workspace_model.Quota(0.1, 1.0))
+        with mock.patch.object(
+            self.dispatcher, '_place_first', side_effect=OSError
+        ):
+            self.assertRaises(OSError, self.admit)
+        self.assertEqual({}, self.dispatcher._requests)
+        self.assertIsInstance(self.admit(), messages.Assigned)
+
+    def wait_for_tokens(self, count):
+        """Return requests that wait, and grant a token to each."""
+        self.see(self.own, self.lender())
+        waiting = [self.admit() for _ in range(count)]
+        ((to, asked),) = self.sent()
+        loan = protocol.QuotaLoan(
+            asked.questions[0].workspace, count, 0, 500, 7, None, 0
+        )
+        answer = protocol.QuotaAnswers(asked.session, asked.sequence, (loan,))
+        return waiting, messages.QuotaDatagram(to, answer)
+
+    def test_failure_of_one_request_leaves_the_next_its_token(self):
+        """All that were decided on with it waited until their deadlines."""
+        waiting, granted = self.wait_for_tokens(2)
+        with mock.patch.object(
+            self.dispatcher,
+            '_place_first',
+            side_effect=(OSError, messages.Rejected(503, 'no server')),
+        ):
+            self.send(granted)
+        failed, rejected = (w.decision.wait(0, mock.Mock()) for w in waiting)
+        self.assertIsNone(failed)
+        self.assertEqual(503, rejected.status)
+        self.send(messages.Withdraw(waiting[0].admission_id))
+        self.assertNotIn(waiting[0].admission_id, self.dispatcher._requests)
+
+    def test_decision_that_nobody_waits_for_is_withdrawn(self):
+        """The server would have kept a request that is never sent."""
+        (waiting,), granted = self.wait_for_tokens(1)
+        request = self.dispatcher._requests[waiting.admission_id]
+        request.reply = None
+        self.send(granted)
+        self.assertEqual({}, self.dispatcher._requests)
+        self.assertIsInstance(self.admit(), messages.Assigned)
+
     def test_request_whose_caller_left_returns_its_token(self):
         lender = self.lender()
         self.see(self.own, lender)
