Reject a request whose thread has given up asking

A thread whose question to the dispatcher timed out after 2 s answers 503 and goes; the dispatcher then admitted the request all the same: two descriptors of a Deferred, a slot at a server and a token were in use for good. Cause: nobody withdraws a request whose admission nobody heard of. Change: Admit says until when its asker waits, 100 ms less than the timeout so that the reply gets there; a later one is rejected before it is counted. Deferred closes its pipe when it is dropped.

--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -33,6 +33,8 @@
 TICK_INTERVAL_MS = 1_000
 # A host that has just started gets its configuration within this time.
 NO_CONFIGURATION_RETRY_AFTER_MS = 300
+# A process that was starved of CPU for seconds does not recover sooner.
+LATE_RETRY_AFTER_MS = 1_000
 # The other hosts take requests at once.
 STOPPING_RETRY_AFTER_MS = 0
 # A server cannot complete a request in less time.
@@ -190,6 +192,9 @@
         return {} if age_ms is None else {'proof.age_ms': age_ms}
 
     def _admit(self, admit: messages.Admit) -> messages.Decision:
+        until_ms = admit.asked_until_ms
+        if until_ms is not None and self._time.now_ms() > until_ms:
+            return self._reject(admit, 503, 'overloaded', LATE_RETRY_AFTER_MS)
         if self._is_stopping:
             # The process would exit before the server has answered.
             return self._reject(
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -20,6 +20,9 @@
 # The dispatcher replies in much less than a millisecond; if it takes this
 # long, the process is starved of CPU.
 DISPATCHER_TIMEOUT_S = 2.0
+# The reply must be there before the thread that asked gives up.
+REPLY_MARGIN_MS = 100
+ADMIT_WAIT_MS = round(DISPATCHER_TIMEOUT_S * 1_000) - REPLY_MARGIN_MS
 # Connecting takes one round trip between data centres; a lost packet is
 # retransmitted only after a second.
 CONNECT_TIMEOUT_MS = 250
@@ -50,6 +53,7 @@
             request.deadline_ms,
             arrived_at_ms,
             request.credentials,
+            self._time.now_ms() + ADMIT_WAIT_MS,
         )
         try:
             decision = self._dispatcher.ask(
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -31,6 +31,8 @@
     deadline_ms: int | None
     arrived_at_ms: int
     credentials: workspace_model.Credentials = workspace_model.NoKey()
+    # After that the reply would reach nobody; None if the asker stays.
+    asked_until_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/internal/deferred.py
+++ b/src/cardamomdeal/internal/deferred.py
@@ -26,8 +26,14 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._value: Value | None = None
-        self._is_closed = False
+        # Until there is a pipe to close.
+        self._is_closed = True
         self._read_fd, self._write_fd = os.pipe()
+        self._is_closed = False
+
+    def __del__(self) -> None:
+        """Close the pipe if nobody has waited for the value."""
+        self.close()
 
     def set(self, value: Value) -> bool:
         """Deliver the value; return False if nobody waits any more."""
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -93,7 +93,7 @@
     def see(self, *hosts):
         self.send(messages.HostsSeen(hosts, self.clock.now_ms()))
 
-    def admit(self):
+    def admit(self, asked_until_ms=None):
         return self.send(
             messages.Admit(
                 'id',
@@ -102,6 +102,7 @@
                 5_000,
                 self.clock.now_ms(),
                 workspace_model.Key(KEY),
+                asked_until_ms,
             )
         )
 
@@ -294,6 +295,16 @@
         self.assertEqual({}, self.dispatcher._requests)
         self.assertIsInstance(self.admit(), messages.Assigned)
 
+    def test_request_that_is_handled_too_late_is_rejected(self):
+        """Its thread has answered the caller and would not withdraw it."""
+        asked_until_ms = self.clock.now_ms()
+        self.assertIsInstance(self.admit(asked_until_ms), messages.Assigned)
+        self.clock.advance(1)
+        self.assertEqual(503, self.admit(asked_until_ms).status)
+        self.assertEqual(1, len(self.dispatcher._requests))
+        counters = self.send(messages.GetMetrics()).counters
+        self.assertEqual(1, counters['quota.granted'])
+
     def test_request_whose_caller_left_returns_its_token(self):
         lender = self.lender()
         self.see(self.own, lender)
