Bound the rates and bursts of quotas and the tokens handed over

A consent with more than a million tokens is dropped by the host that asked for it, which then lends as if disputed; a rate next to 0, or a huge one, led to times that no message carries. Cause: the configuration had no bounds, and QuotaHandOver.tokens has one. Evidence: the new tests failed: the consent could not be decoded, and rates of 1e-7 and 2e9 and a burst of 2e9 were accepted. Change: at most 1e6 tokens are handed over; rate and burst are at most 1e9 and a rate above 0 is at least 1e-6, with an error that names the field.

--- a/src/cardamomdeal/platform/configuration.py
+++ b/src/cardamomdeal/platform/configuration.py
@@ -21,6 +21,9 @@
 # limits the request in any case.
 DEFAULT_ATTEMPTS = 2
 LOWEST_PRIORITY = 9
+# Beyond these, times until a token is due do not fit into messages.
+MIN_RATE_PER_S = 1e-6
+MAX_AMOUNT = 1e9
 # More errors of one configuration are counted, not described.
 MAX_DESCRIBED_ERRORS = 5
 
@@ -33,7 +36,15 @@
 KeyDigest = Annotated[
     bytes, pydantic.BeforeValidator(credentials.decode_digest)
 ]
-RateOrAmount = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+Amount = Annotated[
+    float, pydantic.Field(ge=0, le=MAX_AMOUNT, allow_inf_nan=False)
+]
+
+
+def _check_rate(rate_per_s: float) -> float:
+    if 0 < rate_per_s < MIN_RATE_PER_S:
+        raise ValueError(f'a rate above 0 must be at least {MIN_RATE_PER_S:g}')
+    return rate_per_s
 
 
 def _expand_table(value: Any) -> Any:
@@ -100,8 +111,8 @@
     ]
     api_keys: list[KeyDigest] = []
     priority: int | None = None
-    rate_per_s: RateOrAmount = 0.0
-    burst: RateOrAmount = 0.0
+    rate_per_s: Annotated[Amount, pydantic.AfterValidator(_check_rate)] = 0.0
+    burst: Amount = 0.0
 
 
 def _check_unique(workspaces: list[WorkspaceModel]) -> list[WorkspaceModel]:
--- a/src/cardamomdeal/workspaces/quotas.py
+++ b/src/cardamomdeal/workspaces/quotas.py
@@ -20,6 +20,8 @@
 MAX_DENIED = 10_000
 # A hand-over is sent again for this time, as its message may be lost.
 HAND_OVER_REPEAT_MS = 2_000
+# A message carries no more.
+MAX_HANDED_OVER_TOKENS = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +109,7 @@
         """Return the tokens for the host that lends from now on."""
         earned = max(0, now_ms - self._at_ms) * self._limit.rate_per_ms
         tokens = min(self._limit.capacity, self._tokens + earned)
-        return math.floor(max(0.0, tokens))
+        return math.floor(max(0.0, min(tokens, MAX_HANDED_OVER_TOKENS)))
 
     def take_over(self, tokens: int, at_ms: int, now_ms: int) -> None:
         """Go on with what the host that lent before had left at a time."""
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+from cardamomdeal.protocol import codec
+from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.workspaces import allowance
 from cardamomdeal.workspaces import lenders
@@ -200,6 +202,15 @@
             self.lend(self.new, 20, LONG_AGO_MS, LONG_AGO_MS)
         self.assertEqual(0, self.lend(self.new, 1, LONG_AGO_MS, LONG_AGO_MS))
 
+    def test_message_can_carry_what_is_handed_over(self):
+        """A consent with more tokens was dropped by its recipient."""
+        bucket = quotas.Bucket(limit(1e9, 1e9), ALONE, LONG_AGO_MS)
+        tokens = bucket.tokens_to_hand_over(LONG_AGO_MS + 10_000)
+        self.assertGreater(tokens, 100_000)
+        part = protocol.QuotaHandOver(1, tokens, LONG_AGO_MS)
+        sent = protocol.LendingConsent(1, 'yields', (part,))
+        self.assertEqual(sent, codec.decode(codec.encode(sent)).value_or(None))
+
     def test_lender_that_was_cut_off_learns_what_another_lent(self):
         """It had its burst left, and the other one has used it."""
         self.lend(self.new, 1, LONG_AGO_MS)
--- a/tests/unit/test_workspace_keys.py
+++ b/tests/unit/test_workspace_keys.py
@@ -110,8 +110,12 @@
                 ['a', [SECRET, 9]],
             ),
             'priority': (['a', [SECRET], 'high'],),
-            'rate_per_s': (['a', [SECRET], 1, -1],),
-            'burst': (['a', [SECRET], 1, 5, float('inf')],),
+            'rate_per_s': tuple(
+                ['a', [SECRET], 1, rate] for rate in (-1, 1e-7, 2e9)
+            ),
+            'burst': tuple(
+                ['a', [SECRET], 1, 5, burst] for burst in (float('inf'), 2e9)
+            ),
             'tenants': (['a', [SECRET], 1, 1, 1, 1], 'row'),
             'share': (['a', [SECRET]], ['b', [SECRET]]),
         }
@@ -128,6 +132,15 @@
                     self.assertIn(field, str(error))
                     self.assertNotIn(SECRET, f'{error} {value}')
 
+    def test_quotas_of_any_usable_size_are_accepted(self):
+        rates = (1e-6, 1e9)
+        rows = [[f'w-{r}', [f'key-{r}'], 1, r, 1e9] for r in rates]
+        value = redact(stored(table(*rows)))
+        decoded = configuration.read_configuration(value).unwrap()
+        self.assertEqual(
+            rates, tuple(w.quota.rate_per_s for w in decoded.workspaces)
+        )
+
     def test_last_good_configuration_stays_in_force(self):
         state = fleet_state.FleetState()
         for revision, tenants in enumerate(
