Return a token whose workspace is no longer in use here

What callers saw: requests over the limit although the workspace used less: a token of a request that no server ran counted as used for a window. Cause: a host drops a workspace that is idle for two seconds; a token given back after that was forgotten instead of returned to its lender. Evidence: the new test found nothing sent to the lender. Change: without the workspace's state the token goes back at once.

--- a/src/cardamomdeal/entry/quota_borrowing.py
+++ b/src/cardamomdeal/entry/quota_borrowing.py
@@ -119,11 +119,13 @@
         self._counters['quota.returned'] += 1
         hand = self._hands.get(token.number)
         if hand is None:
-            return
-        returned = hand.give_back(token, now_ms)
+            # It was dropped as idle while the request was under way.
+            returned = token.to_return()
+        else:
+            returned = hand.give_back(token, now_ms)
+            self._decide(hand.resume(now_ms), hand)
         if returned is not None:
             self._return((returned,))
-        self._decide(hand.resume(now_ms), hand)
 
     def pop_decided(self) -> list[Decided]:
         """Return the requests on which it was decided since."""
--- a/src/cardamomdeal/workspaces/token_holder.py
+++ b/src/cardamomdeal/workspaces/token_holder.py
@@ -39,6 +39,12 @@
     counted_until_ms: int
     lapses_at_ms: int
 
+    def to_return(self) -> 'Return | None':
+        """Return what gives the token back to its lender, if it has one."""
+        if self.lender is None:
+            return None
+        return Return(self.lender, self.number, self.counted_until_ms, 1)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
@@ -202,9 +208,7 @@
                 self._own_uses_ms.popleft()
             return None
         if token.lapses_at_ms <= now_ms:
-            return Return(
-                token.lender, token.number, token.counted_until_ms, 1
-            )
+            return token.to_return()
         self._grants.appendleft(
             _Grant(
                 token.lender,
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -295,6 +295,25 @@
         self.assertEqual({}, self.dispatcher._requests)
         self.assertIsInstance(self.admit(), messages.Assigned)
 
+    def test_token_that_comes_back_late_goes_to_its_lender(self):
+        """The workspace was dropped meanwhile, as nothing else used it."""
+        (waiting,), granted = self.wait_for_tokens(1)
+        self.send(granted)
+        decision = waiting.decision.wait(0, mock.Mock())
+        self.clock.advance(4_000)
+        keeper = self.dispatcher._quotas._keeper
+        keeper.wake(self.clock.now_ms())
+        self.finish(decision, outcomes.NotExecuted(503, LOAD, False))
+        ((_, message),) = self.sent()
+        ((number, counted_until_ms, tokens),) = (
+            (r.workspace, r.counted_until_ms, r.tokens)
+            for r in message.returned
+        )
+        self.assertEqual(
+            (allowance.number_of('w'), 7, 1),
+            (number, counted_until_ms, tokens),
+        )
+
     def test_request_that_is_handled_too_late_is_rejected(self):
         """Its thread has answered the caller and would not withdraw it."""
         asked_until_ms = self.clock.now_ms()
