Tell the dispatcher the hosts before the routes with quotas

What callers saw: by reading: the first requests with quotas after a start found no host that lends and were refused. Cause: RoutesUpdated went to the dispatcher before HostsSeen. Change: HostsSeen goes first; without quotas it is still not sent.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -563,6 +563,8 @@
         self._deliver_addresses()
         if self._tasks is None:
             return
+        # The first requests with quotas need to find a lender.
+        self._send_hosts()
         table = self._state.pop_new_routes()
         if table is not None:
             log.info(
@@ -583,7 +585,6 @@
         if update != self._last_update:
             self._last_update = update
             self._tasks.dispatcher.tell(update)
-        self._send_hosts()
         if self._is_stopping:
             return
         if self._is_ready():
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -6,18 +6,23 @@
 from unittest import mock
 
 from cardamomdeal.balancing import outcomes
+from cardamomdeal.channels import datagrams
 from cardamomdeal.entry import dispatcher
+from cardamomdeal.entry import fleet_synchronizer
 from cardamomdeal.entry import messages
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import routes
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
+from cardamomdeal.platform import store
+from cardamomdeal.platform import wire
 from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.workspaces import allowance
 from cardamomdeal.workspaces import lenders
 from cardamomdeal.workspaces import model as workspace_model
 from tests.unit import test_quotas
+from tests.unit import test_workspace_keys
 
 KEY = hashlib.sha256(b'key').digest()
 LIMITS = model.Limits(16_384, 1_000, 3_000, 15_000)
@@ -341,3 +346,33 @@
             )
         )
         self.assertIsInstance(self.admit(), messages.Assigned)
+
+
+class SynchronizerTest(unittest.TestCase):
+    def test_dispatcher_knows_the_hosts_before_the_quotas(self):
+        """The first requests found no lender and waited."""
+        own = host('h-0', 1)
+        place = settings_model.Place('h-0', 'r', 'z')
+        settings = mock.Mock(
+            bounds=test_quotas.BOUNDS,
+            place=place,
+            heartbeat_ms=1_500,
+            seeds=(),
+            link_mbps=0.0,
+        )
+        settings.name = 'h-0'
+        with mock.patch.object(datagrams, 'DatagramTask'):
+            synchronizer = fleet_synchronizer.FleetSynchronizer(
+                settings, own, clock.ManualClock(1_000_000), mock.Mock()
+            )
+        task = mock.Mock()
+        synchronizer.receive(messages.TasksStarted(task, task, task, task))
+        table = test_workspace_keys.table(['w', ['key'], 1, 5, 5])
+        value = test_workspace_keys.redact(test_workspace_keys.stored(table))
+        item = store.Item(wire.CONFIGURATION_KEY, value, 1)
+        synchronizer.receive(messages.StoreSnapshot((item,), 1, 1_000_000))
+        kinds = [type(call.args[0]) for call in task.tell.mock_calls]
+        self.assertLess(
+            kinds.index(messages.HostsSeen),
+            kinds.index(messages.RoutesUpdated),
+        )
