Number workspaces when they are decoded

Cause: the keeper numbered all of them on the dispatcher's thread, and each request with a quota numbered its workspace again. Evidence: the new test found the hash computed in set_workspaces. Change: Workspace computes its number when it is made, on the thread that decodes the configuration; allowance.number_of is now model.number_of.

--- a/src/cardamomdeal/entry/quota_keeper.py
+++ b/src/cardamomdeal/entry/quota_keeper.py
@@ -56,7 +56,7 @@
     ) -> None:
         """Replace the workspaces of the configuration in force."""
         self._workspaces = {
-            allowance.number_of(workspace.name): workspace
+            workspace.number: workspace
             for workspace in workspaces
             if workspace.quota is not None
         }
@@ -98,8 +98,7 @@
     ) -> None:
         """Forget a request that waits, as its caller has left."""
         if workspace is not None and workspace.quota is not None:
-            number = allowance.number_of(workspace.name)
-            self._borrowing.withdraw(request_number, number)
+            self._borrowing.withdraw(request_number, workspace.number)
 
     def give_back(self, token: token_holder.Token, now_ms: int) -> None:
         """Take back the token of a request that no server ran."""
--- a/src/cardamomdeal/workspaces/allowance.py
+++ b/src/cardamomdeal/workspaces/allowance.py
@@ -1,7 +1,6 @@
 """Divides what a quota's bound permits between those who hand it out."""
 
 import dataclasses
-import hashlib
 
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.workspaces import model
@@ -85,7 +84,7 @@
     window_ms = bounds.quota_window_ms
     per_window = quota.rate_per_s * window_ms / MS_PER_S + quota.burst
     return Allowance(
-        number_of(workspace.name),
+        workspace.number,
         workspace.name,
         quota.rate_per_s,
         quota.burst,
@@ -94,12 +93,6 @@
     )
 
 
-def number_of(name: str) -> int:
-    """Return the number that stands for a workspace in messages."""
-    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
-    return int.from_bytes(digest) >> 1
-
-
 def fallback_tokens(limit: Allowance, host_index: int, host_count: int) -> int:
     """Return the requests per window of one host without any lender.
 
--- a/src/cardamomdeal/workspaces/model.py
+++ b/src/cardamomdeal/workspaces/model.py
@@ -1,6 +1,7 @@
 """Immutable data classes: workspaces, their keys and their quotas."""
 
 import dataclasses
+import hashlib
 
 KeyDigest = bytes
 
@@ -24,6 +25,18 @@
     priority: int | None
     # None if its requests are not limited.
     quota: Quota | None
+    # Stands for it in messages.
+    number: int = dataclasses.field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Number the workspace once, when it is decoded."""
+        object.__setattr__(self, 'number', number_of(self.name))
+
+
+def number_of(name: str) -> int:
+    """Return the number that stands for a workspace in messages."""
+    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+    return int.from_bytes(digest) >> 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -18,7 +18,6 @@
 from cardamomdeal.platform import wire
 from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
-from cardamomdeal.workspaces import allowance
 from cardamomdeal.workspaces import lenders
 from cardamomdeal.workspaces import model as workspace_model
 from tests.unit import test_quotas
@@ -172,9 +171,16 @@
             'quota.granted', self.send(messages.GetMetrics()).counters
         )
 
+    def test_workspaces_are_numbered_when_they_are_decoded(self):
+        """The dispatcher serves no request while it numbers them."""
+        quota = workspace_model.Quota(1.0, 2.0)
+        workspace = workspace_model.Workspace('v', (KEY,), None, quota)
+        with mock.patch.object(hashlib, 'blake2b', side_effect=OSError):
+            self.dispatcher._quotas._keeper.set_workspaces((workspace,))
+
     def lender(self):
         """Return another host that lends the workspace's tokens."""
-        group = allowance.number_of('w')
+        group = workspace_model.number_of('w')
         for number in range(2, 60):
             other = host(f'h-{number}', number)
             ranking = lenders.Lenders('h-0', 0)
@@ -315,7 +321,7 @@
             for r in message.returned
         )
         self.assertEqual(
-            (allowance.number_of('w'), 7, 1),
+            (workspace_model.number_of('w'), 7, 1),
             (number, counted_until_ms, tokens),
         )
 
