--- a/src/cardamomdeal/entry/dispatcher.py
+++ b/src/cardamomdeal/entry/dispatcher.py
@@ -36,6 +36,8 @@
 TICK_INTERVAL_MS = 1_000
 # A host that has just started gets its configuration within this time.
 NO_CONFIGURATION_RETRY_AFTER_MS = 300
+# A process that was starved of CPU for seconds does not recover sooner.
+LATE_RETRY_AFTER_MS = 1_000
 # The other hosts take requests at once.
 STOPPING_RETRY_AFTER_MS = 0
 # A server cannot complete a request in less time.
@@ -203,6 +205,7 @@
                 | messages.QuotaDatagram()
                 | messages.FlushQuotas()
                 | messages.WakeQuotas()
+                | messages.ResumeRequests()
             ):
                 self._quotas.receive(message)
             case messages.ReleaseDue():
@@ -232,6 +235,9 @@
         return counters
 
     def _admit(self, admit: messages.Admit) -> messages.Decision:
+        until_ms = admit.asked_until_ms
+        if until_ms is not None and self._time.now_ms() > until_ms:
+            return self._reject(admit, 503, 'overloaded', LATE_RETRY_AFTER_MS)
         if self._is_stopping:
             # The process would exit before the server has answered.
             return self._reject(
@@ -275,7 +281,11 @@
         )
         self._next_admission_id += 1
         self._requests[request.admission_id] = request
-        return self._check_quota(request)
+        try:
+            return self._check_quota(request)
+        except Exception:
+            self._withdraw(request.admission_id)
+            raise
 
     def _check_quota(self, request: _Request) -> messages.Decision:
         """Place a request if its workspace's quota permits, or reject it."""
@@ -573,8 +583,8 @@
     ) -> None:
         """Deliver the decision on a request that was deferred."""
         reply, request.reply = request.reply, None
-        if reply is not None and not reply.set(decision):
-            # The caller's thread has withdrawn meanwhile.
+        if reply is None or not reply.set(decision):
+            # No thread waits for it, or it has withdrawn meanwhile.
             self._withdraw(request.admission_id)
             match decision:
                 case messages.Assigned(connection=unused) if unused:
--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -33,6 +33,8 @@
     credentials: workspace_model.Credentials = workspace_model.NoKey()
     # Held while the request waits.
     body_bytes: int = 0
+    # After that the reply would reach nobody; None if the asker stays.
+    asked_until_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -267,7 +269,14 @@
     """Reminder that a token or an answer is due."""
 
 
-QuotaEvent = HostsSeen | QuotaDatagram | FlushQuotas | WakeQuotas
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumeRequests:
+    """Reminder to go on with requests whose quotas were decided on."""
+
+
+QuotaEvent = (
+    HostsSeen | QuotaDatagram | FlushQuotas | WakeQuotas | ResumeRequests
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/entry/quota_borrowing.py
+++ b/src/cardamomdeal/entry/quota_borrowing.py
@@ -74,6 +74,11 @@
         """Return whether there are questions or tokens to send."""
         return bool(self._questions or self._returns)
 
+    @property
+    def has_decided(self) -> bool:
+        """Return whether it was decided on requests that wait."""
+        return bool(self._decided)
+
     def denied_by_workspace(self) -> dict[str, int]:
         """Return counters of the largest workspaces and of the rest."""
         largest = self._denied_by_workspace.most_common(REPORTED_WORKSPACES)
@@ -114,11 +119,13 @@
         self._counters['quota.returned'] += 1
         hand = self._hands.get(token.number)
         if hand is None:
-            return
-        returned = hand.give_back(token, now_ms)
+            # It was dropped as idle while the request was under way.
+            returned = token.to_return()
+        else:
+            returned = hand.give_back(token, now_ms)
+            self._decide(hand.resume(now_ms), hand)
         if returned is not None:
             self._return((returned,))
-        self._decide(hand.resume(now_ms), hand)
 
     def pop_decided(self) -> list[Decided]:
         """Return the requests on which it was decided since."""
--- a/src/cardamomdeal/entry/quota_gate.py
+++ b/src/cardamomdeal/entry/quota_gate.py
@@ -1,6 +1,7 @@
 """Connects the quota keeper with the dispatcher's messages and timers."""
 
 from collections.abc import Callable
+import logging
 import random
 from typing import Any
 
@@ -18,6 +19,8 @@
 
 Resume = Callable[[int, token_holder.Outcome], None]
 
+log = logging.getLogger(__name__)
+
 
 class QuotaGate:
     """Quotas of the requests of this host; owned by the dispatcher."""
@@ -42,6 +45,7 @@
         self._workspaces: keys.Workspaces = ()
         self._wake_at_ms: int | None = None
         self._is_flush_due = False
+        self._is_resume_due = False
 
     def admit(
         self, admission_id: int, workspace: workspace_model.Workspace | None
@@ -52,7 +56,7 @@
         decision = self._keeper.request(
             admission_id, workspace, self._time.now_ms()
         )
-        self._run()
+        self._arrange_next_steps()
         return decision
 
     def withdraw(
@@ -64,7 +68,7 @@
     def give_back(self, token: token_holder.Token) -> None:
         """Take back the token of a request that no server ran."""
         self._keeper.give_back(token, self._time.now_ms())
-        self._run()
+        self._arrange_next_steps()
 
     def set_routes(self, table: routes.RouteTable) -> None:
         """Replace the workspaces of the configuration in force."""
@@ -103,6 +107,8 @@
                     return
                 self._wake_at_ms = None
                 self._keeper.wake(now_ms)
+            case messages.ResumeRequests():
+                self._is_resume_due = False
         self._run()
 
     def metrics(self) -> dict[str, int]:
@@ -112,7 +118,21 @@
     def _run(self) -> None:
         """Do what the keeper has decided, and see to its next steps."""
         for admission_id, outcome in self._keeper.pop_decided():
-            self._resume(admission_id, outcome)
+            try:
+                self._resume(admission_id, outcome)
+            except Exception:
+                # The other requests were decided on as well.
+                log.exception(
+                    'request not resumed', extra={'admission_id': admission_id}
+                )
+        self._arrange_next_steps()
+
+    def _arrange_next_steps(self) -> None:
+        """See to it that the keeper's next steps are taken when due."""
+        if self._keeper.has_decided and not self._is_resume_due:
+            # Not at once: the caller may be in the middle of a request.
+            self._is_resume_due = True
+            self._owner.tell(messages.ResumeRequests())
         if self._keeper.has_sends and not self._is_flush_due:
             # What further messages ask for until then goes with it.
             self._is_flush_due = True
--- a/src/cardamomdeal/entry/quota_keeper.py
+++ b/src/cardamomdeal/entry/quota_keeper.py
@@ -56,7 +56,7 @@
     ) -> None:
         """Replace the workspaces of the configuration in force."""
         self._workspaces = {
-            allowance.number_of(workspace.name): workspace
+            workspace.number: workspace
             for workspace in workspaces
             if workspace.quota is not None
         }
@@ -98,13 +98,17 @@
     ) -> None:
         """Forget a request that waits, as its caller has left."""
         if workspace is not None and workspace.quota is not None:
-            number = allowance.number_of(workspace.name)
-            self._borrowing.withdraw(request_number, number)
+            self._borrowing.withdraw(request_number, workspace.number)
 
     def give_back(self, token: token_holder.Token, now_ms: int) -> None:
         """Take back the token of a request that no server ran."""
         self._borrowing.give_back(token, now_ms)
 
+    @property
+    def has_decided(self) -> bool:
+        """Return whether it was decided on requests that wait."""
+        return self._borrowing.has_decided
+
     def pop_decided(self) -> list[quota_borrowing.Decided]:
         """Return the requests on which it was decided since."""
         return self._borrowing.pop_decided()
--- a/tests/unit/test_quota_gate.py
+++ b/tests/unit/test_quota_gate.py
@@ -6,18 +6,22 @@
 from unittest import mock
 
 from cardamomdeal.balancing import outcomes
+from cardamomdeal.channels import datagrams
 from cardamomdeal.entry import dispatcher
+from cardamomdeal.entry import fleet_synchronizer
 from cardamomdeal.entry import messages
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import routes
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
+from cardamomdeal.platform import store
+from cardamomdeal.platform import wire
 from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
-from cardamomdeal.workspaces import allowance
 from cardamomdeal.workspaces import lenders
 from cardamomdeal.workspaces import model as workspace_model
 from tests.unit import test_quotas
+from tests.unit import test_workspace_keys
 
 KEY = hashlib.sha256(b'key').digest()
 LIMITS = model.Limits(16_384, 1_000, 3_000, 15_000)
@@ -99,7 +103,7 @@
     def see(self, *hosts):
         self.send(messages.HostsSeen(hosts, self.clock.now_ms()))
 
-    def admit(self):
+    def admit(self, asked_until_ms=None):
         return self.send(
             messages.Admit(
                 'id',
@@ -108,6 +112,7 @@
                 5_000,
                 self.clock.now_ms(),
                 workspace_model.Key(KEY),
+                asked_until_ms,
             )
         )
 
@@ -172,9 +177,16 @@
             'quota.granted', self.send(messages.GetMetrics()).counters
         )
 
+    def test_workspaces_are_numbered_when_they_are_decoded(self):
+        """The dispatcher serves no request while it numbers them."""
+        quota = workspace_model.Quota(1.0, 2.0)
+        workspace = workspace_model.Workspace('v', (KEY,), None, quota)
+        with mock.patch.object(hashlib, 'blake2b', side_effect=OSError):
+            self.dispatcher._quotas._keeper.set_workspaces((workspace,))
+
     def lender(self):
         """Return another host that lends the workspace's tokens."""
-        group = allowance.number_of('w')
+        group = workspace_model.number_of('w')
         for number in range(2, 60):
             other = host(f'h-{number}', number)
             ranking = lenders.Lenders('h-0', 0)
@@ -234,6 +246,101 @@
         self.assertEqual(listed.peers, to)
         self.assertEqual(protocol.LendingConsent(5, 'none'), answer)
 
+    def handle_told(self):
+        """Let the dispatcher handle what it has told itself."""
+        inbox = self.dispatcher.actor_inbox
+        while not inbox.empty():
+            self.send(inbox.get().message)
+
+    def test_token_of_a_rejected_request_goes_to_one_that_is_new(self):
+        """It was granted before the caller's thread could wait for it."""
+        self.configure(workspace_model.Quota(20.0, 1.0))
+        self.clock.advance(10_000)
+        self.assertIsInstance(self.admit(), messages.Assigned)
+        waiting = [self.admit()]
+        self.send(messages.ServersUpdated((), 1))
+        self.clock.advance(50)
+        waiting.append(self.admit())
+        self.handle_told()
+        for waits in waiting:
+            decision = waits.decision.wait(0, mock.Mock())
+            self.assertEqual(503, decision.status)
+        self.assertEqual(1, len(self.dispatcher._requests))
+
+    def test_request_that_could_not_be_placed_is_forgotten(self):
+        """Its slot and its token were in use for good."""
+        self.configure(workspace_model.Quota(0.1, 1.0))
+        with mock.patch.object(
+            self.dispatcher, '_place_first', side_effect=OSError
+        ):
+            self.assertRaises(OSError, self.admit)
+        self.assertEqual({}, self.dispatcher._requests)
+        self.assertIsInstance(self.admit(), messages.Assigned)
+
+    def wait_for_tokens(self, count):
+        """Return requests that wait, and grant a token to each."""
+        self.see(self.own, self.lender())
+        waiting = [self.admit() for _ in range(count)]
+        ((to, asked),) = self.sent()
+        loan = protocol.QuotaLoan(
+            asked.questions[0].workspace, count, 0, 500, 7, None, 0
+        )
+        answer = protocol.QuotaAnswers(asked.session, asked.sequence, (loan,))
+        return waiting, messages.QuotaDatagram(to, answer)
+
+    def test_failure_of_one_request_leaves_the_next_its_token(self):
+        """All that were decided on with it waited until their deadlines."""
+        waiting, granted = self.wait_for_tokens(2)
+        with mock.patch.object(
+            self.dispatcher,
+            '_place_first',
+            side_effect=(OSError, messages.Rejected(503, 'no server')),
+        ):
+            self.send(granted)
+        failed, rejected = (w.decision.wait(0, mock.Mock()) for w in waiting)
+        self.assertIsNone(failed)
+        self.assertEqual(503, rejected.status)
+        self.send(messages.Withdraw(waiting[0].admission_id))
+        self.assertNotIn(waiting[0].admission_id, self.dispatcher._requests)
+
+    def test_decision_that_nobody_waits_for_is_withdrawn(self):
+        """The server would have kept a request that is never sent."""
+        (waiting,), granted = self.wait_for_tokens(1)
+        request = self.dispatcher._requests[waiting.admission_id]
+        request.reply = None
+        self.send(granted)
+        self.assertEqual({}, self.dispatcher._requests)
+        self.assertIsInstance(self.admit(), messages.Assigned)
+
+    def test_token_that_comes_back_late_goes_to_its_lender(self):
+        """The workspace was dropped meanwhile, as nothing else used it."""
+        (waiting,), granted = self.wait_for_tokens(1)
+        self.send(granted)
+        decision = waiting.decision.wait(0, mock.Mock())
+        self.clock.advance(4_000)
+        keeper = self.dispatcher._quotas._keeper
+        keeper.wake(self.clock.now_ms())
+        self.finish(decision, outcomes.NotExecuted(503, LOAD, False))
+        ((_, message),) = self.sent()
+        ((number, counted_until_ms, tokens),) = (
+            (r.workspace, r.counted_until_ms, r.tokens)
+            for r in message.returned
+        )
+        self.assertEqual(
+            (workspace_model.number_of('w'), 7, 1),
+            (number, counted_until_ms, tokens),
+        )
+
+    def test_request_that_is_handled_too_late_is_rejected(self):
+        """Its thread has answered the caller and would not withdraw it."""
+        asked_until_ms = self.clock.now_ms()
+        self.assertIsInstance(self.admit(asked_until_ms), messages.Assigned)
+        self.clock.advance(1)
+        self.assertEqual(503, self.admit(asked_until_ms).status)
+        self.assertEqual(1, len(self.dispatcher._requests))
+        counters = self.send(messages.GetMetrics()).counters
+        self.assertEqual(1, counters['quota.granted'])
+
     def test_request_whose_caller_left_returns_its_token(self):
         lender = self.lender()
         self.see(self.own, lender)
@@ -251,3 +358,33 @@
             )
         )
         self.assertIsInstance(self.admit(), messages.Assigned)
+
+
+class SynchronizerTest(unittest.TestCase):
+    def test_dispatcher_knows_the_hosts_before_the_quotas(self):
+        """The first requests found no lender and waited."""
+        own = host('h-0', 1)
+        place = settings_model.Place('h-0', 'r', 'z')
+        settings = mock.Mock(
+            bounds=test_quotas.BOUNDS,
+            place=place,
+            heartbeat_ms=1_500,
+            seeds=(),
+            link_mbps=0.0,
+        )
+        settings.name = 'h-0'
+        with mock.patch.object(datagrams, 'DatagramTask'):
+            synchronizer = fleet_synchronizer.FleetSynchronizer(
+                settings, own, clock.ManualClock(1_000_000), mock.Mock()
+            )
+        task = mock.Mock()
+        synchronizer.receive(messages.TasksStarted(task, task, task, task))
+        table = test_workspace_keys.table(['w', ['key'], 1, 5, 5])
+        value = test_workspace_keys.redact(test_workspace_keys.stored(table))
+        item = store.Item(wire.CONFIGURATION_KEY, value, 1)
+        synchronizer.receive(messages.StoreSnapshot((item,), 1, 1_000_000))
+        kinds = [type(call.args[0]) for call in task.tell.mock_calls]
+        self.assertLess(
+            kinds.index(messages.HostsSeen),
+            kinds.index(messages.RoutesUpdated),
+        )
--- a/tests/unit/test_quotas.py
+++ b/tests/unit/test_quotas.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+from cardamomdeal.protocol import codec
+from cardamomdeal.protocol import messages as protocol
 from cardamomdeal.settings import model as settings_model
 from cardamomdeal.workspaces import allowance
 from cardamomdeal.workspaces import lenders
@@ -200,6 +202,15 @@
             self.lend(self.new, 20, LONG_AGO_MS, LONG_AGO_MS)
         self.assertEqual(0, self.lend(self.new, 1, LONG_AGO_MS, LONG_AGO_MS))
 
+    def test_message_can_carry_what_is_handed_over(self):
+        """A consent with more tokens was dropped by its recipient."""
+        bucket = quotas.Bucket(limit(1e9, 1e9), ALONE, LONG_AGO_MS)
+        tokens = bucket.tokens_to_hand_over(LONG_AGO_MS + 10_000)
+        self.assertGreater(tokens, 100_000)
+        part = protocol.QuotaHandOver(1, tokens, LONG_AGO_MS)
+        sent = protocol.LendingConsent(1, 'yields', (part,))
+        self.assertEqual(sent, codec.decode(codec.encode(sent)).value_or(None))
+
     def test_lender_that_was_cut_off_learns_what_another_lent(self):
         """It had its burst left, and the other one has used it."""
         self.lend(self.new, 1, LONG_AGO_MS)
@@ -295,6 +306,15 @@
             quotas.Undisputed(self.now_ms - 1), self.role(self.first).standing
         )
 
+    def test_host_that_left_is_forgotten_after_a_pause(self):
+        """Nothing asks for a role for as long as changes are remembered."""
+        rest = set(self.all) - {self.first_name}
+        self.second.set_hosts(rest, self.now_ms)
+        self.now_ms += lenders.MAX_MEMORY_MS
+        self.second.set_hosts(rest, self.now_ms)
+        self.assertEqual(frozenset(), self.second.left)
+        self.assertIsInstance(self.role(self.second), lenders.Lending)
+
     def test_restarted_stand_in_keeps_to_an_earlier_promise(self):
         restarted = lenders.Lenders(self.second_name, self.now_ms)
         restarted.set_hosts(self.all, self.now_ms)
