Refuse requests whose end can be read in two ways

Cause: of two Content-Length lines the intake took the last well-formed one and the library the last one, a continued line included; WSGI has one key for Content-Length and Content_Length, so that a field with an underscore took the place of the real one, or stood for one that the intake had not seen. Evidence: AmbiguousLengthsTest and the new case of test_requests_without_an_end_are_cut failed before: nothing was refused or closed within 5 s, and the intake awaited a body of 40 bytes. Change: a repeated Content-Length, Content_Length and Transfer_Encoding get 400, behind which nothing is read; the intake calls two lengths malformed. Not changed: two equal lengths are refused as well (RFC 9112, 6.3 allows it).

--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -15,6 +15,8 @@
 DISCARD_TIMEOUT_S = 0.1
 MAX_DISCARD_MS = 2_000
 DISCARD_BYTES = 16 * 1024
+# WSGI does not tell them from the fields that state where a body ends.
+AMBIGUOUS_FIELDS = frozenset({b'Content_Length', b'Transfer_Encoding'})
 
 
 class _HeaderReader(cheroot_server.HeaderReader):
@@ -50,17 +52,25 @@
         """Read the headers; return False if the request was rejected."""
         if not super().read_request_headers():
             return False
+        fault = self._find_framing_fault()
+        if fault is not None:
+            self.simple_response('400 Bad Request', fault)
+        return fault is None
+
+    def _find_framing_fault(self) -> str | None:
+        """Return why it is unclear where the body ends, if it is."""
+        if self.is_repeated('Content-Length'):
+            return 'Content-Length: send only one'
+        if not AMBIGUOUS_FIELDS.isdisjoint(self.inheaders):
+            return 'Content-Length and Transfer-Encoding have a hyphen'
         if (
             self.response_protocol != 'HTTP/1.1'
             and b'Transfer-Encoding' in self.inheaders
         ):
             # The library ignores the field, and would take the chunks for the
             # next request (RFC 9112, 6.1).
-            self.simple_response(
-                '400 Bad Request', 'Transfer-Encoding needs HTTP/1.1'
-            )
-            return False
-        return True
+            return 'Transfer-Encoding needs HTTP/1.1'
+        return None
 
     def send_headers(self) -> None:
         """Send the head of the response."""
--- a/src/cardamomdeal/internal/request_intake.py
+++ b/src/cardamomdeal/internal/request_intake.py
@@ -304,8 +304,8 @@
             self._scan = body_scan.LengthScan(
                 int(lengths[-1]) if lengths else 0
             )
-        # With both, senders and receivers may disagree about the end.
-        self._scan.is_malformed = is_chunked and bool(lengths)
+        # With two of them, senders and receivers may disagree about the end.
+        self._scan.is_malformed = is_chunked + len(lengths) > 1
         # In one step, so that a caller does not send most of a large body
         # before it is refused.
         if (
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -19,6 +19,7 @@
 MEMORY_MB = 100
 TIMEOUT_S = 5
 BUFFER_BYTES = 4096
+SMUGGLED = b'GET /smuggled HTTP/1.1\r\nHost: shop.example\r\n\r\n'
 LARGE_BYTES = 300_000
 
 
@@ -125,6 +126,35 @@
         self.check_refused('Transfer-Encoding: chunked', '', 'x')
 
 
+class AmbiguousLengthsTest(CallerServerCase):
+    """A request whose end could be read in two ways is not served.
+
+    The end was taken from one of two fields and the body from the other one,
+    or from a field with an underscore, which WSGI does not tell from the real
+    one: a body of one reading ran as a request of the other.
+    """
+
+    def check_refused(self, *fields):
+        opened = self.connect()
+        opened.sendall(head('/x', *fields) + SMUGGLED)
+        received = self.read_until_close(opened)
+        self.assertEqual([], self.forwarder.requests)
+        self.assertEqual(1, received.count(b'HTTP/1.1 '), received)
+        self.assertIn(b' 400 ', received)
+
+    def test_two_lengths(self):
+        whole = f'Content-Length: {len(SMUGGLED)}'
+        self.check_refused(whole, 'Content-Length: 0')
+        self.check_refused('Content-Length: 0', whole.lower())
+        self.check_refused(whole, ' 0')
+
+    def test_fields_with_an_underscore(self):
+        length = len(SMUGGLED)
+        self.check_refused(f'Content_Length: {length}')
+        self.check_refused(f'Content-Length: {length}', 'content_length: 0')
+        self.check_refused('Transfer_Encoding: chunked')
+
+
 class SlowReadersTest(CallerServerCase):
     """Callers that read their responses slowly hold no thread.
 
--- a/tests/unit/test_request_intake.py
+++ b/tests/unit/test_request_intake.py
@@ -77,6 +77,10 @@
                 HEAD + b'Transfer-Encoding: chunked\r\n\r\n3e9\r\n',
                 'TooLarge',
             ),
+            'two fields of a length': (
+                HEAD + b'Content-Length: 1\r\nContent-length: 40\r\n\r\n',
+                'Malformed',
+            ),
             'two lengths': (
                 HEAD + b'Content-Length: 1\r\nTransfer-Encoding: chunked'
                 b'\r\n\r\n',
