Ignore the load of a server that states no slots

What callers saw: nothing is known; a server that says `0,0,0` counted as full, which was reported to every host. Cause: the header was decoded with any three numbers. Evidence: test_invalid_load_header_is_ignored failed for `0,0,0` and `1,2,00`. Ruled out: a division by the slots of a load was said to raise; the code here divides by the slots of the server's entry only. Change: a load without slots is no load.

--- a/src/cardamomdeal/platform/responses.py
+++ b/src/cardamomdeal/platform/responses.py
@@ -57,4 +57,5 @@
     if match is None:
         return None
     running, waiting, slots = (int(part) for part in match.groups())
-    return outcomes.Load(running, waiting, slots)
+    # Without slots, it says nothing of the room for another request.
+    return outcomes.Load(running, waiting, slots) if slots else None
--- a/tests/unit/test_fleet_state.py
+++ b/tests/unit/test_fleet_state.py
@@ -530,7 +530,8 @@
                 self.assertIsInstance(result, expected)
 
     def test_invalid_load_header_is_ignored(self):
-        for text in ('', '1,2', '1,2,x', '1,2,3,4'):
+        # Without slots, a load is full whatever runs.
+        for text in ('', '1,2', '1,2,x', '1,2,3,4', '0,0,0', '1,2,00'):
             headers = {wire.SIGNATURE: 'x', wire.SERVER_LOAD: text}
             with self.subTest(text=text):
                 result = responses.classify(200, headers, 5)
