Check the time limits of callers by the monotonic clock

What callers saw: after the time of day was set back by a minute, no idle connection, slow request or unread response ended for that minute. Cause: the library's loop called the check of the limits only when its time of day was ahead of the last check; the limits themselves went by the monotonic clock already. Evidence: ClockStepTest failed before (not closed within 5 s at an idle time limit of 0.5 s, with the time of day 60 s back). Change: the connection manager has a loop of its own. The last check is kept over a failed poll, which used to begin the interval anew.

--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -42,6 +42,11 @@
 class _Connections(connections.ConnectionManager):
     """Connections that wait for their clients, and the listening socket."""
 
+    def __init__(self, server: 'PolledServer') -> None:
+        super().__init__(server)
+        self._time = clock.Clock()
+        self._expired_at_ms = self._time.now_ms()
+
     def put(self, connection: polled_connection.PolledConnection) -> None:
         """Wait for the client, or serve what was received already."""
         connection.begin_wait()
@@ -56,9 +61,38 @@
             connection.socket.fileno(), events, data=connection
         )
 
-    def _expire(self, threshold: float) -> None:
-        # The time of day, which the library goes by, may jump.
-        now_ms = clock.Clock().now_ms()
+    def _run(self, expiration_interval: float) -> None:
+        """Poll until a stop is requested."""
+        # The loop of the library checks time limits by the time of day.
+        interval_ms = round(expiration_interval * 1_000)
+        while not self._stop_requested:
+            try:
+                ready = self._selector.select(timeout=expiration_interval)
+            except OSError:
+                self._remove_invalid_sockets()
+                continue
+            for socket_fd, connection in ready:
+                self._go_on(socket_fd, connection)
+            now_ms = self._time.now_ms()
+            if now_ms - self._expired_at_ms > interval_ms:
+                self._expired_at_ms = now_ms
+                self._expire_clients(now_ms)
+
+    def _go_on(
+        self,
+        socket_fd: int,
+        connection: 'polled_connection.PolledConnection | PolledServer',
+    ) -> None:
+        """Go on with a socket that is ready."""
+        if connection is not self.server:
+            self._selector.unregister(socket_fd)
+            self.server.process_conn(connection)
+            return
+        accepted = self._from_server_socket(self.server.socket)
+        if accepted is not None:
+            self.server.process_conn(accepted)
+
+    def _expire_clients(self, now_ms: int) -> None:
         for socket_fd, connection in self.waiting():
             step = connection.expire(now_ms)
             if step is not polled_connection.Step.WAIT:
--- /dev/null
+++ b/tests/contract/test_polled_server.py
@@ -0,0 +1,69 @@
+"""Polling of connections while the machine is in trouble."""
+
+import socket
+import time
+import types
+import unittest
+from unittest import mock
+
+from cheroot import connections
+
+from cardamomdeal.internal import address
+from cardamomdeal.internal import polled_server
+from cardamomdeal.internal import serving
+from cardamomdeal.internal import thread_pool
+
+LOOPBACK = '127.0.0.1'
+REQUEST = b'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n'
+IDLE_TIMEOUT_S = 0.5
+CLOSE_TIMEOUT_S = 5
+CLOCK_STEP_S = 60
+
+
+class PolledServerCase(unittest.TestCase):
+    def setUp(self):
+        self.server = polled_server.PolledServer(
+            address.Address(LOOPBACK, 0),
+            self.serve,
+            thread_pool.ElasticThreadPool(
+                thread_pool.PoolSettings('test', max_threads=4, max_queued=4)
+            ),
+            timeout=IDLE_TIMEOUT_S,
+        )
+        task = serving.ServerTask(self.server)
+        task.start()
+        self.addCleanup(task.finish)
+
+    def serve(self, environ, start_response):
+        start_response('200 OK', [('Content-Length', '0')])
+        return []
+
+    def connect(self):
+        opened = socket.create_connection(
+            self.server.bind_addr, timeout=CLOSE_TIMEOUT_S
+        )
+        self.addCleanup(opened.close)
+        return opened
+
+    def exchange(self, opened):
+        opened.sendall(REQUEST)
+        return opened.recv(65_536).split(b'\r\n')[0]
+
+
+class ClockStepTest(PolledServerCase):
+    """Time limits of clients hold while the time of day is set back.
+
+    The library compared it with that of its last check, and no connection
+    was closed until the old time was reached again.
+    """
+
+    def test_idle_connection_is_closed(self):
+        opened = self.connect()
+        self.exchange(opened)
+        stepped = types.SimpleNamespace(
+            time=lambda: time.time() - CLOCK_STEP_S, sleep=time.sleep
+        )
+        with mock.patch.object(connections, 'time', stepped):
+            self.assertEqual(b'', opened.recv(1))
+
+
