Serve open connections while no other one can be accepted

What callers saw: while the process had no file descriptor left and a connection waited in the backlog, kept connections got no answer, and none that was idle was closed, so that nothing freed a descriptor. Cause: the error of accept ended the poll before the other ready connections had their turn and before the time limits were checked. Evidence: test_others_are_served_and_closed_when_idle failed before (no answer within 5 s); test_failing_accept_is_not_tried_again_at_once passed before and holds the pause. Change: the error is logged, and the listening socket is not polled for 50 ms; a stop tries once more to accept what waits.

--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -24,8 +24,8 @@
 MAX_PENDING_MS = 100
 # Connections that it accepts before it closes the listening socket.
 MAX_PENDING_CONNECTIONS = 64
-# Pause after an unexpected exception, such as a lack of file descriptors,
-# that would be raised again at once.
+# Pause after an unexpected exception, or a lack of file descriptors, that
+# would be raised again at once.
 POLL_RETRY_MS = 50
 # Limits of requests for readiness, addresses and metrics.
 DEFAULT_LIMITS = request_intake.Limits(
@@ -46,6 +46,9 @@
         super().__init__(server)
         self._time = clock.Clock()
         self._expired_at_ms = self._time.now_ms()
+        # While no connection can be accepted, the listening socket is not
+        # polled: it stays readable.
+        self._accepts_again_at_ms: int | None = None
 
     def put(self, connection: polled_connection.PolledConnection) -> None:
         """Wait for the client, or serve what was received already."""
@@ -67,7 +70,9 @@
         interval_ms = round(expiration_interval * 1_000)
         while not self._stop_requested:
             try:
-                ready = self._selector.select(timeout=expiration_interval)
+                ready = self._selector.select(
+                    timeout=self._poll_timeout_s(expiration_interval)
+                )
             except OSError:
                 self._remove_invalid_sockets()
                 continue
@@ -77,6 +82,38 @@
             if now_ms - self._expired_at_ms > interval_ms:
                 self._expired_at_ms = now_ms
                 self._expire_clients(now_ms)
+            self._accept_again(now_ms)
+
+    def _poll_timeout_s(self, interval_s: float) -> float:
+        if self._accepts_again_at_ms is None:
+            return interval_s
+        return min(interval_s, POLL_RETRY_MS / 1_000)
+
+    def _accept_again(self, now_ms: int) -> None:
+        """Poll the listening socket again after the pause."""
+        if (
+            self._accepts_again_at_ms is None
+            or now_ms < self._accepts_again_at_ms
+        ):
+            return
+        self._accepts_again_at_ms = None
+        self._selector.register(
+            self.server.socket.fileno(),
+            selectors.EVENT_READ,
+            data=self.server,
+        )
+
+    def _accept(self) -> polled_connection.PolledConnection | None:
+        """Accept a connection, if that is possible."""
+        try:
+            return self._from_server_socket(self.server.socket)
+        except OSError as error:
+            log.warning(
+                'connection not accepted', extra={'reason': str(error)}
+            )
+            self._selector.unregister(self.server.socket.fileno())
+            self._accepts_again_at_ms = self._time.now_ms() + POLL_RETRY_MS
+            return None
 
     def _go_on(
         self,
@@ -88,7 +125,7 @@
             self._selector.unregister(socket_fd)
             self.server.process_conn(connection)
             return
-        accepted = self._from_server_socket(self.server.socket)
+        accepted = self._accept()
         if accepted is not None:
             self.server.process_conn(accepted)
 
@@ -137,10 +174,13 @@
 
         Closing it resets the connections in its queue.
         """
+        if self._accepts_again_at_ms is not None:
+            self._accept_again(self._accepts_again_at_ms)
         for _ in range(MAX_PENDING_CONNECTIONS):
             if not self.refuse_ready(0):
                 break
-        self._selector.unregister(self.server.socket.fileno())
+        if self._accepts_again_at_ms is None:
+            self._selector.unregister(self.server.socket.fileno())
         self.server.socket.close()
         self.server.socket = None
 
@@ -149,7 +189,7 @@
         ready = list(self._selector.select(timeout=timeout_s))
         for socket_fd, connection in ready:
             if connection is self.server:
-                accepted = self._from_server_socket(self.server.socket)
+                accepted = self._accept()
                 if accepted is not None:
                     self.server.put_conn(accepted)
             else:
--- a/tests/contract/test_polled_server.py
+++ b/tests/contract/test_polled_server.py
@@ -1,5 +1,6 @@
 """Polling of connections while the machine is in trouble."""
 
+import errno
 import socket
 import time
 import types
@@ -18,6 +19,8 @@
 IDLE_TIMEOUT_S = 0.5
 CLOSE_TIMEOUT_S = 5
 CLOCK_STEP_S = 60
+TROUBLE_S = 0.6
+NO_DESCRIPTORS = OSError(errno.EMFILE, 'Too many open files')
 
 
 class PolledServerCase(unittest.TestCase):
@@ -67,3 +70,45 @@
             self.assertEqual(b'', opened.recv(1))
 
 
+class FailingAcceptTest(PolledServerCase):
+    """Open connections are served while no other one can be accepted.
+
+    The listening socket stays readable, and its error ended each poll before
+    the other connections had their turn.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.accept = connections.ConnectionManager._from_server_socket
+        patcher = mock.patch.object(
+            connections.ConnectionManager,
+            '_from_server_socket',
+            autospec=True,
+            side_effect=self.accept,
+        )
+        self.accepting = patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def fail_to_accept(self):
+        self.accepting.side_effect = NO_DESCRIPTORS
+        self.accepting.reset_mock()
+
+    def test_others_are_served_and_closed_when_idle(self):
+        opened, idle = self.connect(), self.connect()
+        for kept in (opened, idle):
+            self.exchange(kept)
+        self.fail_to_accept()
+        waiting = self.connect()
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < TROUBLE_S:
+            self.assertEqual(b'HTTP/1.1 200 OK', self.exchange(opened))
+        self.assertEqual(b'', idle.recv(1))
+        self.accepting.side_effect = self.accept
+        self.assertEqual(b'HTTP/1.1 200 OK', self.exchange(waiting))
+
+    def test_failing_accept_is_not_tried_again_at_once(self):
+        self.fail_to_accept()
+        self.connect()
+        time.sleep(TROUBLE_S)
+        tried = round(TROUBLE_S * 1_000 / polled_server.POLL_RETRY_MS)
+        self.assertIn(self.accepting.call_count, range(1, tried + 2))
