Refuse a request for which there is no thread, and release its memory

What callers saw: their connection was closed without an answer, and the memory of the request stayed reserved for the life of the process. That of a head whose parsing raised stayed reserved as well. Cause: an exception between taking a request and queueing it left the pipeline before the request was among those that it releases. Change: the request gets 503 with Retry-After as the last response on its connection, and one log line; whatever is raised releases its memory.

--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -3,7 +3,10 @@
 import collections
 from concurrent import futures
 import dataclasses
+import http
+import logging
 import os
+import queue
 import select
 import threading
 
@@ -13,9 +16,13 @@
 from cardamomdeal.internal import memory_budget
 from cardamomdeal.internal import polled_connection
 from cardamomdeal.internal import request_intake
+from cardamomdeal.platform import wire
 
 # Maximum number of requests of one connection that are in flight.
 MAX_PIPELINED = 16
+NO_THREAD_RETRY_AFTER_MS = 500
+
+log = logging.getLogger(__name__)
 
 
 class _BufferedConnection(polled_connection.BufferedConnection):
@@ -101,21 +108,30 @@
     def _read_request(self) -> None:
         received = self._connection.take_request()
         buffer = _BufferedConnection(self._connection, received, self._budget)
+        try:
+            self._start(buffer)
+        except Exception:
+            buffer.memory.release()
+            raise
+
+    def _start(self, buffer: _BufferedConnection) -> None:
+        """Serve a request, or reject it if its head is malformed."""
         request = self._connection.parse(buffer)
         if not request.ready:
-            self._accepts_requests = False
-            future: futures.Future[None] = futures.Future()
-            future.set_result(None)
-            buffer.finished.set()
-            self._in_flight.append(_PipelinedRequest(request, buffer, future))
+            self._reject(request, buffer)
             return
         # Decided only here: callers send the requests behind a response that
         # closes the connection once more, so it must be the last one.
         if self._connection.server.must_close_connections():
             request.close_connection = True
-        if request.close_connection or not received.is_whole:
+        if request.close_connection or not buffer.rfile.is_whole:
             self._accepts_requests = False
-        future = self._workers.submit(self._serve, request, buffer)
+        try:
+            future = self._workers.submit(self._serve, request, buffer)
+        except (queue.Full, RuntimeError) as error:
+            _refuse(request, repr(error))
+            self._reject(request, buffer)
+            return
         self._in_flight.append(_PipelinedRequest(request, buffer, future))
         if _has_body(request):
             # Its response closes the connection if the body is refused, and
@@ -124,6 +140,16 @@
             if request.close_connection or future.exception() is not None:
                 self._accepts_requests = False
 
+    def _reject(
+        self, request: cheroot_server.HTTPRequest, buffer: _BufferedConnection
+    ) -> None:
+        """Send the response that was written as the last one."""
+        self._accepts_requests = False
+        future: futures.Future[None] = futures.Future()
+        future.set_result(None)
+        buffer.finished.set()
+        self._in_flight.append(_PipelinedRequest(request, buffer, future))
+
     def _serve(
         self, request: cheroot_server.HTTPRequest, buffer: _BufferedConnection
     ) -> None:
@@ -171,5 +197,33 @@
         return True
 
 
+def _refuse(request: cheroot_server.HTTPRequest, reason: str) -> None:
+    """Write that a request was not run for lack of a thread."""
+    name = wire.REQUEST_ID.title().encode()
+    request_id = request.inheaders.get(name, b'').decode('latin-1')
+    log.warning(
+        'request refused',
+        extra={
+            'request_id': request_id,
+            'reason': f'no thread is free: {reason}',
+        },
+    )
+    response = caller.error_response(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'no thread is free; the request was not run',
+        request_id,
+        NO_THREAD_RETRY_AFTER_MS,
+    )
+    request.close_connection = True
+    request.status = response.status_line.encode()
+    request.outheaders = [
+        (name.encode(), value.encode('latin-1'))
+        for name, value in response.headers
+    ]
+    request.ensure_headers_sent()
+    for part in response.body.parts:
+        request.write(part)
+
+
 def _has_body(request: cheroot_server.HTTPRequest) -> bool:
     return request.chunked_read or b'Content-Length' in request.inheaders
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -1,11 +1,13 @@
 """Connections of callers whose requests do not arrive whole."""
 
 import http.client
+import queue
 import socket
 import threading
 import time
 import types
 import unittest
+from unittest import mock
 
 from cardamomdeal.entry import caller
 from cardamomdeal.entry import server
@@ -155,6 +157,37 @@
         self.check_refused('Transfer_Encoding: chunked')
 
 
+class NoThreadTest(CallerServerCase):
+    """A request for which there is no thread is refused as not run.
+
+    The connection was closed without an answer, and the memory of the request
+    was held for good.
+    """
+
+    def check_refused(self, error):
+        opened = self.connect()
+        opened.sendall(b'GET /slow HTTP/1.1\r\nHost: shop.example\r\n\r\n')
+        self.wait_until(lambda: self.forwarder.requests)
+        with mock.patch.object(
+            self.server.workers, 'submit', side_effect=error
+        ):
+            opened.sendall(head('/x', 'Content-Length: 1') + b'x' + SMUGGLED)
+            self.wait_until(lambda: self.server.workers.submit.called)
+        self.forwarder.may_answer.set()
+        received = self.read_until_close(opened)
+        self.assertEqual(2, received.count(b'HTTP/1.1 '), received)
+        self.assertIn(b'HTTP/1.1 503 ', received)
+        self.assertIn(b'Connection: close', received)
+        self.assertEqual([('/slow', 0)], self.forwarder.requests)
+        self.wait_until(lambda: not self.server.budget.held_bytes)
+
+    def test_pool_is_full(self):
+        self.check_refused(queue.Full)
+
+    def test_pool_is_shut_down(self):
+        self.check_refused(RuntimeError('the pool is shut down'))
+
+
 class SlowReadersTest(CallerServerCase):
     """Callers that read their responses slowly hold no thread.
 
