Close a connection that can neither be served nor refused

What callers saw: when the machine had no room for a thread, the request that was to be refused got nothing, its connection stayed open with its memory held, and the poll was interrupted for the others. Cause: the exception of starting the thread for refusals, and any other one while a connection is handed on, was raised in the loop that polls. Evidence: both tests of NoThreadTest (test_polled_server) failed before (not closed within 5 s). Change: the connection is closed, which releases what it holds, with one log line. The thread is tried again with the next refusal.

--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -296,7 +296,7 @@
         if not conn.was_polled:
             # Most clients have not sent their request yet.
             conn.was_polled = True
-            self.put_conn(conn)
+            self.take_step(conn, polled_connection.Step.WAIT)
             return
         if self.is_stopping:
             self.finish(conn)
@@ -307,7 +307,6 @@
             log.info('connection lost', extra={'reason': str(error)})
             step = polled_connection.Step.CLOSE
         except Exception:
-            # The other connections are polled by the same thread.
             log.exception('connection closed after an unexpected exception')
             step = polled_connection.Step.CLOSE
         self.take_step(conn, step)
@@ -317,7 +316,19 @@
         conn: polled_connection.PolledConnection,
         step: polled_connection.Step,
     ) -> None:
-        """Do with a connection what it needs next."""
+        """Do with a connection what it needs next; close it on errors."""
+        try:
+            self._take_step(conn, step)
+        except Exception:
+            # The other connections are polled by the same thread.
+            log.exception('connection closed after an unexpected exception')
+            conn.close()
+
+    def _take_step(
+        self,
+        conn: polled_connection.PolledConnection,
+        step: polled_connection.Step,
+    ) -> None:
         match step:
             case polled_connection.Step.WAIT:
                 self.put_conn(conn)
--- a/src/cardamomdeal/internal/refusals.py
+++ b/src/cardamomdeal/internal/refusals.py
@@ -1,6 +1,7 @@
 """Task that responds 503 on connections for which no thread is free."""
 
 import contextlib
+import logging
 import queue
 import socket
 import threading
@@ -17,6 +18,8 @@
 READ_SIZE_BYTES = 64 * 1024
 RESPONSE_BODY = b'no thread is free; the request was not run\n'
 
+log = logging.getLogger(__name__)
+
 
 class RefusalTask(threading.Thread):
     """Task that owns the refused connections until they are closed."""
@@ -31,10 +34,15 @@
 
     def refuse(self, connection: cheroot_server.HTTPConnection) -> None:
         """Take ownership of a connection and refuse its request."""
-        self._ensure_started()
         try:
+            self._ensure_started()
             self._queue.put_nowait(connection)
-        except queue.Full:
+        except (RuntimeError, queue.Full) as error:
+            # The machine may have no room for a thread now, and later on.
+            log.warning(
+                'connection closed without a refusal',
+                extra={'reason': repr(error)},
+            )
             connection.close()
 
     def stop(self) -> None:
--- a/tests/contract/test_polled_server.py
+++ b/tests/contract/test_polled_server.py
@@ -1,7 +1,9 @@
 """Polling of connections while the machine is in trouble."""
 
 import errno
+import queue
 import socket
+import threading
 import time
 import types
 import unittest
@@ -11,6 +13,7 @@
 
 from cardamomdeal.internal import address
 from cardamomdeal.internal import polled_server
+from cardamomdeal.internal import refusals
 from cardamomdeal.internal import serving
 from cardamomdeal.internal import thread_pool
 
@@ -53,6 +56,52 @@
         return opened.recv(65_536).split(b'\r\n')[0]
 
 
+class NoThreadTest(PolledServerCase):
+    """A lack of threads closes one connection and not the poll.
+
+    The exception of a thread that could not be started was raised in the
+    loop that polls, and the connection stayed open with its memory.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.kept, self.unlucky = self.connect(), self.connect()
+        for opened in (self.kept, self.unlucky):
+            self.exchange(opened)
+        # Their threads would go on with the next request.
+        end_s = time.monotonic() + CLOSE_TIMEOUT_S
+        while len(self.server._connections.waiting()) < 2:
+            self.assertLess(time.monotonic(), end_s)
+            time.sleep(0.005)
+
+    def check_closed(self):
+        self.assertEqual(b'', self.unlucky.recv(1))
+        self.assertEqual(0, self.server.budget.held_bytes)
+        self.assertEqual(b'HTTP/1.1 200 OK', self.exchange(self.kept))
+
+    def test_thread_for_refusals_cannot_be_started(self):
+        self.server.refuse = refusals.RefusalTask(()).refuse
+        error = RuntimeError("can't start new thread")
+        with (
+            mock.patch.object(
+                self.server.requests, 'put', side_effect=queue.Full
+            ),
+            mock.patch.object(threading.Thread, 'start', side_effect=error),
+        ):
+            self.unlucky.sendall(REQUEST)
+            with self.assertNoLogs(polled_server.log, 'ERROR'):
+                self.assertEqual(b'', self.unlucky.recv(1))
+        self.check_closed()
+
+    def test_exception_while_a_request_is_queued(self):
+        with mock.patch.object(
+            self.server.requests, 'put', side_effect=MemoryError
+        ):
+            self.unlucky.sendall(REQUEST)
+            self.assertEqual(b'', self.unlucky.recv(1))
+        self.check_closed()
+
+
 class ClockStepTest(PolledServerCase):
     """Time limits of clients hold while the time of day is set back.
 
