Tell a waiting caller to send its body before the body arrives

What callers saw: one that sent `Expect: 100-continue` and waited for the interim response got 408 after the idle time limit. Cause: the library sends it when it parses the head, and since requests are received whole before a thread takes them, that was behind the body. Change: a connection that begins to wait for such a body sends the interim response, once, only for HTTP/1.1, and not if a part of the body has arrived, the body is refused, or the response to a request before it is due. The library does not see the field; it was not forwarded before.

--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -19,7 +19,7 @@
 AMBIGUOUS_FIELDS = frozenset({b'Content_Length', b'Transfer_Encoding'})
 
 
-class _HeaderReader(cheroot_server.HeaderReader):
+class HeaderReader(cheroot_server.HeaderReader):
     """Reader that tells which headers came on more than one line.
 
     The library keeps only the last line of most headers.
@@ -42,7 +42,7 @@
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
-        self.header_reader = _HeaderReader()
+        self.header_reader = HeaderReader()
 
     def is_repeated(self, header: str) -> bool:
         """Return whether a header came on more than one line."""
--- a/src/cardamomdeal/internal/polled_connection.py
+++ b/src/cardamomdeal/internal/polled_connection.py
@@ -23,6 +23,7 @@
 # A body of which nothing arrives for this long holds only what was received.
 STALL_MS = 1_000
 REQUEST_TIMEOUT_STATUS = '408 Request Timeout'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 NO_MEMORY_STATUS = '503 Service Unavailable'
 
 log = logging.getLogger(__name__)
@@ -36,6 +37,24 @@
     CLOSE = 'close'
 
 
+class _HeaderReader(http_server.HeaderReader):
+    """Reader without the expectation that was met before the body arrived.
+
+    The library would send an interim response of its own.
+    """
+
+    def _allow_header(self, key_name: bytes) -> bool:
+        return super()._allow_header(key_name) and key_name != b'Expect'
+
+
+class _Request(http_server.Request):
+    """Request that was received whole."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.header_reader = _HeaderReader()
+
+
 class BufferedConnection:
     """Wrapper of a connection with one request and its response."""
 
@@ -59,6 +78,7 @@
     requests that were received whole.
     """
 
+    RequestHandlerClass = _Request
     # Whether the server has polled the connection for its first request.
     was_polled = False
 
@@ -114,6 +134,21 @@
         if not self._unsent:
             self._waits_since_ms = self._time.now_ms()
 
+    def ask_for_body(self) -> None:
+        """Send the interim response that the client waits for, if any.
+
+        No request before it may be in flight: its response comes first.
+        """
+        if self._unsent or not self._intake.awaits_continue:
+            return
+        self._intake.end_expectation()
+        try:
+            self.send((CONTINUE,))
+        except OSError as error:
+            # The loss is found when the connection is read.
+            log.info('connection lost', extra={'reason': str(error)})
+            self.discard_unsent()
+
     def receive(self) -> request_intake.Progress:
         """Receive what has arrived; return what there is of a request."""
         for _ in range(MAX_RECEIVES):
--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -53,6 +53,7 @@
     def put(self, connection: polled_connection.PolledConnection) -> None:
         """Wait for the client, or serve what was received already."""
         connection.begin_wait()
+        connection.ask_for_body()
         if connection.has_unsent:
             events = selectors.EVENT_WRITE
         elif connection.is_request_ready:
--- a/src/cardamomdeal/internal/request_intake.py
+++ b/src/cardamomdeal/internal/request_intake.py
@@ -23,6 +23,10 @@
 TRANSFER_ENCODING_FIELD = re.compile(
     rb'\r\n[ \t]*transfer-encoding[ \t]*:', re.IGNORECASE
 )
+EXPECT_FIELD = re.compile(
+    rb'\r\n[ \t]*expect[ \t]*:[ \t]*100-continue[ \t]*\r\n', re.IGNORECASE
+)
+HTTP_1_1_LINE = re.compile(rb'[^\r\n]* HTTP/1\.1[ \t]*\r\n')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,6 +202,8 @@
         # Received behind the end of the request.
         self._rest = b''
         self._started_at_ms = 0
+        # Whether the client may wait for an interim response.
+        self._expects_continue = False
         self.progress: Progress = Nothing()
         # Whether the caller has closed its side of the connection.
         self.has_ended = False
@@ -212,6 +218,15 @@
         """Return the memory that is reserved."""
         return self._reservation.held_bytes
 
+    @property
+    def awaits_continue(self) -> bool:
+        """Return whether the client waits before it sends a body."""
+        return self._expects_continue and isinstance(self.progress, PartOfBody)
+
+    def end_expectation(self) -> None:
+        """Record that the client has been told to send the body."""
+        self._expects_continue = False
+
     def add(self, data: bytes, now_ms: int, limits: Limits) -> None:
         """Add what was received; nothing may be added to a ready request."""
         if isinstance(self.progress, Nothing):
@@ -260,6 +275,7 @@
         self._received = body_buffer.BodyBuffer()
         self._received_bytes = 0
         self._scan = None
+        self._expects_continue = False
         self.progress = Nothing()
         if rest:
             self.add(rest, now_ms, limits)
@@ -296,6 +312,10 @@
         behind = bytes(self._head[size_bytes:])
         self._head.clear()
         self._received.write(head)
+        self._expects_continue = (
+            HTTP_1_1_LINE.match(head) is not None
+            and EXPECT_FIELD.search(head) is not None
+        )
         lengths = LENGTH_FIELD.findall(head)
         is_chunked = TRANSFER_ENCODING_FIELD.search(head) is not None
         if is_chunked:
@@ -321,6 +341,9 @@
         used_bytes = self._scan.feed(data)
         self._received.write(data[:used_bytes])
         self._rest = data[used_bytes:]
+        if used_bytes:
+            # It does not wait any more.
+            self.end_expectation()
         if self._scan.is_malformed:
             self._cut(Malformed())
         elif self._scan.size_bytes > limits.max_body_bytes:
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -21,6 +21,7 @@
 MEMORY_MB = 100
 TIMEOUT_S = 5
 BUFFER_BYTES = 4096
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 SMUGGLED = b'GET /smuggled HTTP/1.1\r\nHost: shop.example\r\n\r\n'
 LARGE_BYTES = 300_000
 
@@ -188,6 +189,67 @@
         self.check_refused(RuntimeError('the pool is shut down'))
 
 
+class AwaitedBodiesTest(CallerServerCase):
+    """A caller that waits for an interim response gets it before its body.
+
+    It came only when the body was whole, so that a caller that waited for it
+    got 408 in the end.
+    """
+
+    fields = ('Content-Length: 1', 'expect: 100-Continue')
+
+    def check_served(self, opened):
+        opened.sendall(b'x')
+        received = opened.recv(65_536)
+        self.assertIn(b' 200 ', received)
+        self.assertNotIn(CONTINUE, received)
+        self.assertEqual(('/x', 1), self.forwarder.requests[-1])
+
+    def test_interim_response_comes_once_before_the_body(self):
+        opened = self.connect()
+        for _ in range(2):
+            opened.sendall(head('/x', *self.fields))
+            self.assertEqual(CONTINUE, opened.recv(65_536))
+            self.check_served(opened)
+
+    def test_interim_response_waits_for_the_response_before_it(self):
+        opened = self.connect()
+        opened.sendall(b'GET /slow HTTP/1.1\r\nHost: shop.example\r\n\r\n')
+        self.wait_until(lambda: self.forwarder.requests)
+        opened.sendall(head('/x', *self.fields))
+        opened.settimeout(0.3)
+        with self.assertRaises(TimeoutError):
+            opened.recv(65_536)
+        opened.settimeout(TIMEOUT_S)
+        self.forwarder.may_answer.set()
+        received = b''
+        while not received.endswith(CONTINUE):
+            received += opened.recv(65_536)
+        self.assertIn(b'/slow', received.removesuffix(CONTINUE))
+        self.check_served(opened)
+
+    def test_none_for_a_body_that_arrived_or_is_refused(self):
+        opened = self.connect()
+        opened.sendall(head('/x', *self.fields))
+        self.assertEqual(CONTINUE, opened.recv(65_536))
+        self.check_served(opened)
+        opened.sendall(head('/x', *self.fields) + b'x')
+        self.assertTrue(opened.recv(65_536).startswith(b'HTTP/1.1 200 '))
+        size_bytes = server.MAX_BODY_BYTES + 1
+        opened.sendall(
+            head('/x', f'Content-Length: {size_bytes}', self.fields[1])
+        )
+        self.assertTrue(opened.recv(65_536).startswith(b'HTTP/1.1 413 '))
+
+    def test_none_for_http_1_0(self):
+        opened = self.connect()
+        request = head('/x', *self.fields)
+        opened.sendall(request.replace(b'HTTP/1.1', b'HTTP/1.0'))
+        opened.settimeout(0.3)
+        with self.assertRaises(TimeoutError):
+            opened.recv(65_536)
+
+
 class SlowReadersTest(CallerServerCase):
     """Callers that read their responses slowly hold no thread.
 
