--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -24,8 +24,8 @@
 MAX_PENDING_MS = 100
 # Connections that it accepts before it closes the listening socket.
 MAX_PENDING_CONNECTIONS = 64
-# Pause after an unexpected exception, such as a lack of file descriptors,
-# that would be raised again at once.
+# Pause after an unexpected exception, or a lack of file descriptors, that
+# would be raised again at once.
 POLL_RETRY_MS = 50
 # Limits of requests for readiness, addresses and metrics.
 DEFAULT_LIMITS = request_intake.Limits(
@@ -42,9 +42,18 @@
 class _Connections(connections.ConnectionManager):
     """Connections that wait for their clients, and the listening socket."""
 
+    def __init__(self, server: 'PolledServer') -> None:
+        super().__init__(server)
+        self._time = clock.Clock()
+        self._expired_at_ms = self._time.now_ms()
+        # While no connection can be accepted, the listening socket is not
+        # polled: it stays readable.
+        self._accepts_again_at_ms: int | None = None
+
     def put(self, connection: polled_connection.PolledConnection) -> None:
         """Wait for the client, or serve what was received already."""
         connection.begin_wait()
+        connection.ask_for_body()
         if connection.has_unsent:
             events = selectors.EVENT_WRITE
         elif connection.is_request_ready:
@@ -56,9 +65,72 @@
             connection.socket.fileno(), events, data=connection
         )
 
-    def _expire(self, threshold: float) -> None:
-        # The time of day, which the library goes by, may jump.
-        now_ms = clock.Clock().now_ms()
+    def _run(self, expiration_interval: float) -> None:
+        """Poll until a stop is requested."""
+        # The loop of the library checks time limits by the time of day.
+        interval_ms = round(expiration_interval * 1_000)
+        while not self._stop_requested:
+            try:
+                ready = self._selector.select(
+                    timeout=self._poll_timeout_s(expiration_interval)
+                )
+            except OSError:
+                self._remove_invalid_sockets()
+                continue
+            for socket_fd, connection in ready:
+                self._go_on(socket_fd, connection)
+            now_ms = self._time.now_ms()
+            if now_ms - self._expired_at_ms > interval_ms:
+                self._expired_at_ms = now_ms
+                self._expire_clients(now_ms)
+            self._accept_again(now_ms)
+
+    def _poll_timeout_s(self, interval_s: float) -> float:
+        if self._accepts_again_at_ms is None:
+            return interval_s
+        return min(interval_s, POLL_RETRY_MS / 1_000)
+
+    def _accept_again(self, now_ms: int) -> None:
+        """Poll the listening socket again after the pause."""
+        if (
+            self._accepts_again_at_ms is None
+            or now_ms < self._accepts_again_at_ms
+        ):
+            return
+        self._accepts_again_at_ms = None
+        self._selector.register(
+            self.server.socket.fileno(),
+            selectors.EVENT_READ,
+            data=self.server,
+        )
+
+    def _accept(self) -> polled_connection.PolledConnection | None:
+        """Accept a connection, if that is possible."""
+        try:
+            return self._from_server_socket(self.server.socket)
+        except OSError as error:
+            log.warning(
+                'connection not accepted', extra={'reason': str(error)}
+            )
+            self._selector.unregister(self.server.socket.fileno())
+            self._accepts_again_at_ms = self._time.now_ms() + POLL_RETRY_MS
+            return None
+
+    def _go_on(
+        self,
+        socket_fd: int,
+        connection: 'polled_connection.PolledConnection | PolledServer',
+    ) -> None:
+        """Go on with a socket that is ready."""
+        if connection is not self.server:
+            self._selector.unregister(socket_fd)
+            self.server.process_conn(connection)
+            return
+        accepted = self._accept()
+        if accepted is not None:
+            self.server.process_conn(accepted)
+
+    def _expire_clients(self, now_ms: int) -> None:
         for socket_fd, connection in self.waiting():
             step = connection.expire(now_ms)
             if step is not polled_connection.Step.WAIT:
@@ -103,10 +175,13 @@
 
         Closing it resets the connections in its queue.
         """
+        if self._accepts_again_at_ms is not None:
+            self._accept_again(self._accepts_again_at_ms)
         for _ in range(MAX_PENDING_CONNECTIONS):
             if not self.refuse_ready(0):
                 break
-        self._selector.unregister(self.server.socket.fileno())
+        if self._accepts_again_at_ms is None:
+            self._selector.unregister(self.server.socket.fileno())
         self.server.socket.close()
         self.server.socket = None
 
@@ -115,7 +190,7 @@
         ready = list(self._selector.select(timeout=timeout_s))
         for socket_fd, connection in ready:
             if connection is self.server:
-                accepted = self._from_server_socket(self.server.socket)
+                accepted = self._accept()
                 if accepted is not None:
                     self.server.put_conn(accepted)
             else:
@@ -222,7 +297,7 @@
         if not conn.was_polled:
             # Most clients have not sent their request yet.
             conn.was_polled = True
-            self.put_conn(conn)
+            self.take_step(conn, polled_connection.Step.WAIT)
             return
         if self.is_stopping:
             self.finish(conn)
@@ -233,7 +308,6 @@
             log.info('connection lost', extra={'reason': str(error)})
             step = polled_connection.Step.CLOSE
         except Exception:
-            # The other connections are polled by the same thread.
             log.exception('connection closed after an unexpected exception')
             step = polled_connection.Step.CLOSE
         self.take_step(conn, step)
@@ -243,7 +317,19 @@
         conn: polled_connection.PolledConnection,
         step: polled_connection.Step,
     ) -> None:
-        """Do with a connection what it needs next."""
+        """Do with a connection what it needs next; close it on errors."""
+        try:
+            self._take_step(conn, step)
+        except Exception:
+            # The other connections are polled by the same thread.
+            log.exception('connection closed after an unexpected exception')
+            conn.close()
+
+    def _take_step(
+        self,
+        conn: polled_connection.PolledConnection,
+        step: polled_connection.Step,
+    ) -> None:
         match step:
             case polled_connection.Step.WAIT:
                 self.put_conn(conn)
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -1,11 +1,13 @@
 """Connections of callers whose requests do not arrive whole."""
 
 import http.client
+import queue
 import socket
 import threading
 import time
 import types
 import unittest
+from unittest import mock
 
 from cardamomdeal.entry import caller
 from cardamomdeal.entry import server
@@ -19,6 +21,8 @@
 MEMORY_MB = 100
 TIMEOUT_S = 5
 BUFFER_BYTES = 4096
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+SMUGGLED = b'GET /smuggled HTTP/1.1\r\nHost: shop.example\r\n\r\n'
 LARGE_BYTES = 300_000
 
 
@@ -125,6 +129,127 @@
         self.check_refused('Transfer-Encoding: chunked', '', 'x')
 
 
+class AmbiguousLengthsTest(CallerServerCase):
+    """A request whose end could be read in two ways is not served.
+
+    The end was taken from one of two fields and the body from the other one,
+    or from a field with an underscore, which WSGI does not tell from the real
+    one: a body of one reading ran as a request of the other.
+    """
+
+    def check_refused(self, *fields):
+        opened = self.connect()
+        opened.sendall(head('/x', *fields) + SMUGGLED)
+        received = self.read_until_close(opened)
+        self.assertEqual([], self.forwarder.requests)
+        self.assertEqual(1, received.count(b'HTTP/1.1 '), received)
+        self.assertIn(b' 400 ', received)
+
+    def test_two_lengths(self):
+        whole = f'Content-Length: {len(SMUGGLED)}'
+        self.check_refused(whole, 'Content-Length: 0')
+        self.check_refused('Content-Length: 0', whole.lower())
+        self.check_refused(whole, ' 0')
+
+    def test_fields_with_an_underscore(self):
+        length = len(SMUGGLED)
+        self.check_refused(f'Content_Length: {length}')
+        self.check_refused(f'Content-Length: {length}', 'content_length: 0')
+        self.check_refused('Transfer_Encoding: chunked')
+
+
+class NoThreadTest(CallerServerCase):
+    """A request for which there is no thread is refused as not run.
+
+    The connection was closed without an answer, and the memory of the request
+    was held for good.
+    """
+
+    def check_refused(self, error):
+        opened = self.connect()
+        opened.sendall(b'GET /slow HTTP/1.1\r\nHost: shop.example\r\n\r\n')
+        self.wait_until(lambda: self.forwarder.requests)
+        with mock.patch.object(
+            self.server.workers, 'submit', side_effect=error
+        ):
+            opened.sendall(head('/x', 'Content-Length: 1') + b'x' + SMUGGLED)
+            self.wait_until(lambda: self.server.workers.submit.called)
+        self.forwarder.may_answer.set()
+        received = self.read_until_close(opened)
+        self.assertEqual(2, received.count(b'HTTP/1.1 '), received)
+        self.assertIn(b'HTTP/1.1 503 ', received)
+        self.assertIn(b'Connection: close', received)
+        self.assertEqual([('/slow', 0)], self.forwarder.requests)
+        self.wait_until(lambda: not self.server.budget.held_bytes)
+
+    def test_pool_is_full(self):
+        self.check_refused(queue.Full)
+
+    def test_pool_is_shut_down(self):
+        self.check_refused(RuntimeError('the pool is shut down'))
+
+
+class AwaitedBodiesTest(CallerServerCase):
+    """A caller that waits for an interim response gets it before its body.
+
+    It came only when the body was whole, so that a caller that waited for it
+    got 408 in the end.
+    """
+
+    fields = ('Content-Length: 1', 'expect: 100-Continue')
+
+    def check_served(self, opened):
+        opened.sendall(b'x')
+        received = opened.recv(65_536)
+        self.assertIn(b' 200 ', received)
+        self.assertNotIn(CONTINUE, received)
+        self.assertEqual(('/x', 1), self.forwarder.requests[-1])
+
+    def test_interim_response_comes_once_before_the_body(self):
+        opened = self.connect()
+        for _ in range(2):
+            opened.sendall(head('/x', *self.fields))
+            self.assertEqual(CONTINUE, opened.recv(65_536))
+            self.check_served(opened)
+
+    def test_interim_response_waits_for_the_response_before_it(self):
+        opened = self.connect()
+        opened.sendall(b'GET /slow HTTP/1.1\r\nHost: shop.example\r\n\r\n')
+        self.wait_until(lambda: self.forwarder.requests)
+        opened.sendall(head('/x', *self.fields))
+        opened.settimeout(0.3)
+        with self.assertRaises(TimeoutError):
+            opened.recv(65_536)
+        opened.settimeout(TIMEOUT_S)
+        self.forwarder.may_answer.set()
+        received = b''
+        while not received.endswith(CONTINUE):
+            received += opened.recv(65_536)
+        self.assertIn(b'/slow', received.removesuffix(CONTINUE))
+        self.check_served(opened)
+
+    def test_none_for_a_body_that_arrived_or_is_refused(self):
+        opened = self.connect()
+        opened.sendall(head('/x', *self.fields))
+        self.assertEqual(CONTINUE, opened.recv(65_536))
+        self.check_served(opened)
+        opened.sendall(head('/x', *self.fields) + b'x')
+        self.assertTrue(opened.recv(65_536).startswith(b'HTTP/1.1 200 '))
+        size_bytes = server.MAX_BODY_BYTES + 1
+        opened.sendall(
+            head('/x', f'Content-Length: {size_bytes}', self.fields[1])
+        )
+        self.assertTrue(opened.recv(65_536).startswith(b'HTTP/1.1 413 '))
+
+    def test_none_for_http_1_0(self):
+        opened = self.connect()
+        request = head('/x', *self.fields)
+        opened.sendall(request.replace(b'HTTP/1.1', b'HTTP/1.0'))
+        opened.settimeout(0.3)
+        with self.assertRaises(TimeoutError):
+            opened.recv(65_536)
+
+
 class SlowReadersTest(CallerServerCase):
     """Callers that read their responses slowly hold no thread.
 
