Wait in the test of quotas until keys are in force, and drop a second __del__

Cause: the first configuration of the test asks for no key and has no quota; both hosts answered 200 by it, the flood began, and 129 requests ran (bound 60). Evidence: in the logs of a run by another maintainer the flood starts while version 1 is in force. The test asks for the refusal of an unknown key first, as test_revocation does; its bound and its checks are as before.

--- a/src/cardamomdeal/entry/messages.py
+++ b/src/cardamomdeal/entry/messages.py
@@ -31,10 +31,10 @@
     deadline_ms: int | None
     arrived_at_ms: int
     credentials: workspace_model.Credentials = workspace_model.NoKey()
-    # Held while the request waits.
-    body_bytes: int = 0
     # After that the reply would reach nobody; None if the asker stays.
     asked_until_ms: int | None = None
+    # Held while the request waits.
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cardamomdeal/internal/deferred.py
+++ b/src/cardamomdeal/internal/deferred.py
@@ -31,10 +31,6 @@
         self._read_fd, self._write_fd = os.pipe()
         self._is_closed = False
 
-    def __del__(self) -> None:
-        """Close the pipe if nobody has waited for the value."""
-        self.close()
-
     def __del__(self) -> None:
         """Close the pipe if nobody has waited."""
         self.close()
--- a/tests/process/test_quotas.py
+++ b/tests/process/test_quotas.py
@@ -40,21 +40,28 @@
             tenants=[['bakery', [KEY], None, RATE_PER_S, BURST]],
         )
         for n, host in enumerate(self.hosts):
+            # The configuration before it asks for no key and has no quota.
+            self.wait_until(lambda n=n, host=host: self.knows_keys(n, host))
             self.wait_until(lambda n=n, host=host: self.is_ready(n, host))
         self.answers = []
 
+    def knows_keys(self, n, host):
+        """Return whether a host refuses a key that nobody holds."""
+        request_id = f'keys-{n}-{time.monotonic()}'
+        return self.call(request_id, host, 'unknown').status == 401
+
     def is_ready(self, n, host):
         """Return whether a host knows the key and a lender."""
         return self.call(f'ready-{n}-{time.monotonic()}', host).status == 200
 
-    def call(self, request_id, host):
+    def call(self, request_id, host, key=KEY):
         return urllib3.request(
             'GET',
             f'http://{entry_case.LOOPBACK}:{host["callers"]}/safe/x',
             headers={
                 'Host': 'shop.example',
                 wire.REQUEST_ID: request_id,
-                'Authorization': f'Token {KEY}',
+                'Authorization': f'Token {key}',
             },
             retries=False,
             timeout=5,
