Send finished responses while a request with a body is served

What callers saw: a pipelined request with a body, or with a stated length of 0, held back the finished responses before it and all requests behind it until it was served. Cause: its thread was waited for, so that nothing is read behind a response that closes the connection. Evidence: test_empty_body_holds_back_nothing and test_responses_before_a_body_are_sent_while_it_is_served failed before (not within 5 s); the other two tests of PipelinedBodiesTest passed before and hold the rule. Change: the request is a barrier: the next one stays unread until it is served without closing the connection. A length of 0 is no body.

--- a/src/cardamomdeal/entry/pipeline.py
+++ b/src/cardamomdeal/entry/pipeline.py
@@ -69,6 +69,10 @@
             collections.deque()
         )
         self._accepts_requests = True
+        # Request with a body that is being served. Its response closes the
+        # connection if the body is refused, and nothing may be read behind it
+        # then.
+        self._barrier: _PipelinedRequest | None = None
         self._wake_read_fd, self._wake_write_fd = os.pipe()
 
     def run(self) -> bool:
@@ -86,6 +90,7 @@
 
     def _run(self) -> bool:
         while True:
+            self._pass_barrier()
             if self._may_read_request() and self._connection.has_request():
                 self._read_request()
             elif not self._in_flight:
@@ -101,6 +106,7 @@
         # Responses that a caller does not read bound what it may send.
         return (
             self._accepts_requests
+            and self._barrier is None
             and not self._connection.has_unsent
             and len(self._in_flight) < MAX_PIPELINED
         )
@@ -132,13 +138,18 @@
             _refuse(request, repr(error))
             self._reject(request, buffer)
             return
-        self._in_flight.append(_PipelinedRequest(request, buffer, future))
+        pipelined = _PipelinedRequest(request, buffer, future)
+        self._in_flight.append(pipelined)
         if _has_body(request):
-            # Its response closes the connection if the body is refused, and
-            # nothing may be read behind it then. The response is sent later.
-            futures.wait([future])
-            if request.close_connection or future.exception() is not None:
-                self._accepts_requests = False
+            self._barrier = pipelined
+
+    def _pass_barrier(self) -> None:
+        """Read on behind a body once it has not closed the connection."""
+        if self._barrier is None or not self._barrier.buffer.finished.is_set():
+            return
+        if self._barrier.request.close_connection:
+            self._accepts_requests = False
+        self._barrier = None
 
     def _reject(
         self, request: cheroot_server.HTTPRequest, buffer: _BufferedConnection
@@ -155,6 +166,9 @@
     ) -> None:
         try:
             request.respond()
+        except BaseException:
+            request.close_connection = True
+            raise
         finally:
             # The future completes only after this wake-up. The event is set
             # before it, as the connection's thread would otherwise see no
@@ -226,4 +240,5 @@
 
 
 def _has_body(request: cheroot_server.HTTPRequest) -> bool:
-    return request.chunked_read or b'Content-Length' in request.inheaders
+    length = int(request.inheaders.get(b'Content-Length', 0))
+    return request.chunked_read or length != 0
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -32,12 +32,15 @@
     def __init__(self):
         self.requests = []
         self.may_answer = threading.Event()
+        self.may_end_upload = threading.Event()
 
     def serve(self, request, arrived_at_ms):
         self.arrived_at_ms = arrived_at_ms
         self.requests.append((request.target, request.body.size_bytes))
         if request.target == '/slow':
             self.may_answer.wait(TIMEOUT_S)
+        if request.target == '/upload':
+            self.may_end_upload.wait(2 * TIMEOUT_S)
         body = body_buffer.Body((request.target.encode(),))
         if request.target == '/large':
             body = body_buffer.Body((bytes(LARGE_BYTES),))
@@ -158,6 +161,69 @@
         self.check_refused('Transfer_Encoding: chunked')
 
 
+class PipelinedBodiesTest(CallerServerCase):
+    """A request with a body holds back only what comes behind it.
+
+    Its connection was neither read nor written while it was served.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.opened = self.connect()
+        self.opened.sendall(head('/slow'))
+        self.wait_until(lambda: self.forwarder.requests)
+
+    def check_answered(self, target):
+        received = b''
+        while not received.endswith(target):
+            received += self.opened.recv(65_536)
+        self.assertNotIn(b'/next', received.removesuffix(target))
+
+    def targets(self):
+        return {target for target, _ in self.forwarder.requests}
+
+    def test_empty_body_holds_back_nothing(self):
+        self.opened.sendall(head('/empty', 'Content-Length: 0'))
+        self.opened.sendall(head('/upload', 'Content-Length: 0'))
+        self.opened.sendall(head('/next'))
+        self.wait_until(lambda: '/next' in self.targets())
+        self.assertEqual(
+            {'/slow', '/empty', '/upload', '/next'}, self.targets()
+        )
+        self.forwarder.may_end_upload.set()
+        self.forwarder.may_answer.set()
+
+    def test_responses_before_a_body_are_sent_while_it_is_served(self):
+        self.opened.sendall(head('/upload', 'Content-Length: 1') + b'x')
+        self.opened.sendall(head('/next'))
+        self.wait_until(lambda: '/upload' in self.targets())
+        self.forwarder.may_answer.set()
+        self.check_answered(b'/slow')
+        # Nothing is read behind a body before it is known to be accepted.
+        self.assertNotIn('/next', self.targets())
+        self.forwarder.may_end_upload.set()
+        self.check_answered(b'/next')
+
+    def test_request_behind_a_served_body_runs_beside_a_slow_one(self):
+        self.opened.sendall(head('/upload', 'Content-Length: 1') + b'x')
+        self.opened.sendall(head('/next'))
+        self.forwarder.may_end_upload.set()
+        self.wait_until(lambda: '/next' in self.targets())
+        self.forwarder.may_answer.set()
+
+    def test_nothing_is_read_behind_a_body_that_raises(self):
+        with mock.patch.object(
+            self.server, 'wsgi_app', side_effect=MemoryError
+        ):
+            self.opened.sendall(head('/upload', 'Content-Length: 1') + b'x')
+            self.opened.sendall(head('/next'))
+            self.wait_until(lambda: self.server.wsgi_app.called)
+        self.forwarder.may_answer.set()
+        received = self.read_until_close(self.opened)
+        self.assertEqual(1, received.count(b'HTTP/1.1 '), received)
+        self.assertEqual({'/slow'}, self.targets())
+
+
 class NoThreadTest(CallerServerCase):
     """A request for which there is no thread is refused as not run.
 
