Deliver the answers behind a server's own 413

What callers saw: of three lookups on one connection, the second of which its server answered with 413, the third got no answer although it had run (LOST). Evidence: test_answers_behind_a_server_s_413_are_delivered failed before (the connection ended behind the 413) and passes now. A body that was not read still closes it.

--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -15,6 +15,7 @@
 DISCARD_TIMEOUT_S = 0.1
 MAX_DISCARD_MS = 2_000
 DISCARD_BYTES = 16 * 1024
+TOO_LARGE_STATUS = b'413'
 # WSGI does not tell them from the fields that state where a body ends.
 AMBIGUOUS_FIELDS = frozenset({b'Content_Length', b'Transfer_Encoding'})
 
@@ -78,6 +79,15 @@
         # sent in chunks; that rest would be taken for the next request.
         if self._has_unread_body():
             self.close_connection = True
+        stays_open = not self.close_connection
+        if stays_open and self.status.startswith(TOO_LARGE_STATUS):
+            # The library closes the connection, although a server may have
+            # refused a request that was read to its end, and requests behind
+            # it may have run.
+            self.outheaders.append((b'Connection', b'keep-alive'))
+            super().send_headers()
+            self.close_connection = False
+            return
         super().send_headers()
 
     def _has_unread_body(self) -> bool:
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -46,7 +46,8 @@
             body = body_buffer.Body((bytes(LARGE_BYTES),))
             request.memory.response.try_add(LARGE_BYTES)
         headers = (('Content-Length', str(body.size_bytes)),)
-        return caller.Response(200, headers, body)
+        status = 413 if request.target == '/refused' else 200
+        return caller.Response(status, headers, body)
 
 
 class CallerServerCase(unittest.TestCase):
@@ -161,6 +162,26 @@
         self.check_refused('Transfer_Encoding: chunked')
 
 
+class LookupsBehindRefusalTest(CallerServerCase):
+    """A server answers 413 to one of several lookups on a connection.
+
+    The library closes a connection behind any such response, and the answers
+    to the lookups behind it, which had run, were thrown away.
+    """
+
+    def test_answers_behind_a_server_s_413_are_delivered(self):
+        opened = self.connect()
+        opened.sendall(head('/slow') + head('/refused') + head('/next'))
+        self.wait_until(lambda: len(self.forwarder.requests) == 3)
+        self.forwarder.may_answer.set()
+        received = b''
+        while not received.endswith(b'/next'):
+            part = opened.recv(65_536)
+            self.assertTrue(part, received)
+            received += part
+        self.assertIn(b'HTTP/1.1 413 ', received)
+
+
 class PipelinedBodiesTest(CallerServerCase):
     """A request with a body holds back only what comes behind it.
 
