--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -214,7 +214,7 @@
             target_latency_ms=1_000,
             timeout_ms=2_000,
         )
-        self.replay = load_replay.Replay(load, 1)
+        self.replay = load_replay.Replay(load, 1, admission_control=True)
         self.dispatcher = self.replay.hosts[0].dispatcher
         for number in range(2):
             answered = self.admit(f'r-{number}')
