Show that SIGHUP ends a host that has just been started

The handler of the signal is installed last, so a change of the settings during the start of a process ends it. The stand-ins of the cases are now one file, as folders in review/ are cases.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 # each of them can be loaded.
 set -eu
 cd "$(dirname "$0")/.."
-export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:src:review/rig2:."
+export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:src:review:."
 [ -d target/deps ] || { echo 'build as deploy/system.toml says first' >&2; exit 2; }
-python3 -c 'import devel.store_standin, rig'
+python3 -c 'import devel.store_standin, rig2'
--- a/review/rig2/rig.py
+++ b/review/rig2.py
@@ -20,7 +20,7 @@
 import urllib.request
 
 LOOPBACK = '127.0.0.1'
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 DEPS = ROOT / 'target' / 'deps'
 HOSTNAME = 'shop.example'
 ID = 'Cardamomdeal-Request-Id'
@@ -315,6 +315,8 @@
 def main(case, folder, bounds, memory_mb):
     """Play a case and exit with its verdict."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
+    # A shell may have been told to ignore it, and processes inherit that.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     deployment = None
     try:
         deployment = Deployment(folder, bounds, memory_mb)
