Show that refused uploads take a host above its memory

A connection for which there is no thread is closed with its request still in it. Its bytes leave the memory budget then, but the connection is part of a reference cycle, so they stay in memory until the next full collection.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -178,6 +178,8 @@
         self.work_s, self.answer_bytes = work_s, answer_bytes
         self.running = 0
         self.ran = []
+        # Requests whose head has arrived.
+        self.seen = []
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -202,13 +204,17 @@
         finally:
             writer.close()
 
+    async def read_body(self, reader, size_bytes):
+        await reader.readexactly(size_bytes)
+
     async def _serve_one(self, reader, writer):
         head = await read_head(reader)
         if head is None:
             return False
         line, fields = head
-        await reader.readexactly(int(fields.get('content-length', 0)))
         request_id = fields.get(ID.lower(), '')
+        self.seen.append(request_id)
+        await self.read_body(reader, int(fields.get('content-length', 0)))
         if fields.get(EXPECT.lower()) not in (None, self.id):
             writer.write(f'HTTP/1.1 421 Misdirected Request\r\n'
                          f'Cardamomdeal-Instance-Id: {self.id}\r\n'
