--- a/tests/contract/test_kept_connections.py
+++ b/tests/contract/test_kept_connections.py
@@ -5,29 +5,24 @@
 is not its own, or be told that a request was not run although it was.
 """
 
-import socket
-import struct
-import threading
 import unittest
 
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import errors
-from cardamomdeal.internal import address
 from cardamomdeal.internal import body_buffer
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import memory_budget
 from cardamomdeal.platform import wire
+from tests import scripted_server
 
 LIMIT_MS = 2_000
-HEAD_END = b'\r\n\r\n'
-RESET = struct.pack('ii', 1, 0)
 
 
 def response(request_id=None, status='200 OK', body=b'done', extra=()):
     lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}', *extra]
     if request_id is not None:
         lines.append(f'{wire.REQUEST_ID}: {request_id}')
-    return '\r\n'.join(lines).encode() + HEAD_END + body
+    return '\r\n'.join(lines).encode() + scripted_server.HEAD_END + body
 
 
 def refusal(request_id=None):
@@ -62,44 +57,9 @@
 }
 
 
-class ScriptedServer:
-    """Server that sends the given bytes for each request it receives."""
-
-    def __init__(self, replies, resets=False):
-        self._replies = replies
-        self._resets = resets
-        self.send_now = threading.Event()
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self.address = address.Address(*self._listener.getsockname())
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def close(self):
-        self.send_now.set()
-        self._listener.close()
-        self._thread.join(5)
-
-    def _serve(self):
-        client, _ = self._listener.accept()
-        with client:
-            client.settimeout(5)
-            for reply in self._replies:
-                received = b''
-                while HEAD_END not in received:
-                    data = client.recv(65_536)
-                    if not data:
-                        return
-                    received += data
-                client.sendall(reply)
-            if self._resets:
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                # The response would otherwise be lost with the reset.
-                self.send_now.wait(0.2)
-
-
 class KeptConnectionTest(unittest.TestCase):
     def connect(self, replies, resets=False):
-        server = ScriptedServer(replies, resets)
+        server = scripted_server.ScriptedServer(replies, resets)
         self.addCleanup(server.close)
         opened = connection.BackendConnection(
             server.address, LIMIT_MS, clock.Clock()
