Refuse answers whose head states no valid length

Seen by callers: a server in trouble sends "Content-Length: 4x", or a transfer coding that is not "chunked", with a signed 200. Callers of an entry host got a whole 200 with every byte up to the close of the connection as its body.

Cause: the HTTP library ignores a length that `int` does not parse and a coding that it does not know. The body then ends with the connection, as for an answer that states no length. What `int` parses beyond digits (+4) passed as a length.

Change: `response_head.parse_framing` decides how a body ends from all values of both fields, and an answer for which that is not clear is broken: 502, or a retry where the request is idempotent. An answer that states neither field still ends with its connection, and two equal lengths are still one.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -7,7 +7,6 @@
 import functools
 import http.client
 import io
-import itertools
 import re
 import select
 import socket
@@ -19,6 +18,7 @@
 
 from cardamomdeal.backend import errors
 from cardamomdeal.backend import header_fields
+from cardamomdeal.backend import response_head
 from cardamomdeal.internal import address
 from cardamomdeal.internal import body_buffer
 from cardamomdeal.internal import clock
@@ -181,6 +181,14 @@
         self.reader = _LimitedReader(self.fp.detach(), limit, time)
         self.fp = _LineReader(self.reader)
 
+    def begin(self) -> None:
+        """Read the head; raise AnswerBroken if it is malformed."""
+        super().begin()
+        self.framing = response_head.parse_framing(
+            self.headers.get_all('Content-Length', ()),
+            self.headers.get_all('Transfer-Encoding', ()),
+        )
+
     def _close_conn(self) -> None:
         if self.fp is not None and not self.will_close:
             self.has_trailing_bytes = self._has_unread_bytes()
@@ -214,7 +222,9 @@
     @property
     def has_delimited_body(self) -> bool:
         """Return whether a truncated body can be detected."""
-        return self.body_bytes is not None or bool(self._http_response.chunked)
+        return self.body_bytes is not None or isinstance(
+            self._http_response.framing, response_head.Chunked
+        )
 
     def prevent_reuse(self) -> None:
         """Prevent the connection from being reused after this response."""
@@ -358,7 +368,6 @@
             # It may be a copy of the response to an earlier request.
             raise errors.AnswerBroken('the answer does not say to what')
         self._was_used = True
-        self._check_lengths(response)
         self._record_keep_alive(response)
         if not sent_completely:
             response.prevent_reuse()
@@ -500,7 +509,6 @@
         self._check_request_id(
             response, header_fields.REQUEST_ID, request.request_id
         )
-        self._check_lengths(response)
         if not response.has_delimited_body and request.method != 'HEAD':
             # The close of the connection would be the only end of the body,
             # so a truncated body would look complete.
@@ -519,16 +527,6 @@
         if response_id is not None and response_id != request_id:
             raise errors.AnswerBroken('the answer is to another request')
 
-    def _check_lengths(self, response: Response) -> None:
-        lengths = set(
-            itertools.chain.from_iterable(
-                value.split(',')
-                for value in response.headers.getlist('Content-Length')
-            )
-        )
-        if len(lengths) > 1:
-            raise errors.AnswerBroken('the answer states two lengths')
-
 
 def forwarded_headers(
     headers: Mapping[str, str], request_id: str, remaining_ms: int
--- /dev/null
+++ b/src/cardamomdeal/backend/response_head.py
@@ -0,0 +1,70 @@
+"""Heads of responses, checked strictly (RFC 9112).
+
+The HTTP library skips what it cannot parse, and would then take other bytes
+for the body than the server meant.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import re
+
+from cardamomdeal.backend import errors
+
+_LENGTH = re.compile(r'[0-9]{1,18}')
+_BLANKS = ' \t'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FixedLength:
+    """The body has the stated length."""
+
+    length_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunked:
+    """The body is sent in chunks and ends with the last one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UntilClose:
+    """The body ends when the server closes the connection."""
+
+
+Framing = FixedLength | Chunked | UntilClose
+
+
+def parse_framing(lengths: Sequence[str], codings: Sequence[str]) -> Framing:
+    """Return how the body ends; raise AnswerBroken if that is not clear.
+
+    The arguments are the values of Content-Length and Transfer-Encoding.
+    """
+    if codings:
+        return _parse_codings(codings, lengths)
+    if not lengths:
+        return UntilClose()
+    length, *others = {length.strip(_BLANKS) for length in lengths}
+    if others:
+        raise errors.AnswerBroken('the answer states two lengths')
+    if not _LENGTH.fullmatch(length):
+        raise errors.AnswerBroken(
+            f'Content-Length: {_shorten(length)} is not a number of bytes'
+        )
+    return FixedLength(int(length))
+
+
+def _parse_codings(codings: Sequence[str], lengths: Sequence[str]) -> Chunked:
+    if lengths:
+        raise errors.AnswerBroken(
+            'the answer states both a length and a transfer coding'
+        )
+    coding = ', '.join(codings).strip(_BLANKS)
+    if coding.lower() != 'chunked':
+        raise errors.AnswerBroken(
+            f'Transfer-Encoding: {_shorten(coding)} is not supported'
+        )
+    return Chunked()
+
+
+def _shorten(text: str) -> str:
+    return repr(text[:32])
--- /dev/null
+++ b/tests/broken_answers.py
@@ -0,0 +1,72 @@
+"""Malformed answers of a backend server, for tests."""
+
+from cardamomdeal.platform import wire
+
+# Values that `int` accepts, such as `+4`, are no lengths either.
+INVALID_LENGTHS = (
+    b'Content-Length: x',
+    b'Content-Length: 4x',
+    b'Content-Length: -4',
+    b'Content-Length: +4',
+    b'Content-Length: 0x4',
+    b'Content-Length: 1_0',
+    b'Content-Length: 4 4',
+    b'Content-Length: 4;4',
+    b'Content-Length: 4.0',
+    b'Content-Length:',
+    b'Content-Length: ' + b'9' * 5_000,
+    b'Content-Length: 4\r\nContent-Length: x',
+    b'Content-Length: 4\r\nContent-Length: 5',
+)
+# With a body in chunks.
+INVALID_CODINGS = (
+    b'Transfer-Encoding: chunke',
+    b'Transfer-Encoding: chunked, chunked',
+    b'Transfer-Encoding: gzip',
+    b'Transfer-Encoding: gzip, chunked',
+    b'Transfer-Encoding:',
+    b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x',
+    b'Content-Length: 4\r\nTransfer-Encoding: chunked',
+)
+VALID_LENGTHS = (
+    b'Content-Length: x',
+    b'Content-Length: 4x',
+    b'Content-Length: -4',
+    b'Content-Length: +4',
+    b'Content-Length: 0x4',
+    b'Content-Length: 1_0',
+    b'Content-Length: 4 4',
+    b'Content-Length: 4;4',
+    b'Content-Length: 4.0',
+    b'Content-Length:',
+    b'Content-Length: ' + b'9' * 5_000,
+    b'Content-Length: 4\r\nContent-Length: x',
+    b'Content-Length: 4\r\nContent-Length: 5',
+    b'Content-Length: 4\r\nTransfer-Encoding: chunked',
+    b'Transfer-Encoding: chunke',
+    b'Transfer-Encoding: chunked, chunked',
+    b'Transfer-Encoding: gzip',
+    b'Transfer-Encoding: gzip, chunked',
+    b'Transfer-Encoding:',
+    b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x',
+)
+VALID_LENGTHS = (
+    b'Content-Length: 4',
+    b'Content-Length: \t 004 \t',
+    b'content-length:4',
+    b'Content-Length: 4\r\nContent-Length: 4',
+)
+VALID_CODINGS = (
+    b'Transfer-Encoding: chunked',
+    b'transfer-encoding:\tChunked ',
+)
+
+
+CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
+
+
+def answer(fields, status_line=b'HTTP/1.1 200 OK', body=b'bodyMORE'):
+    """Return an answer that its server signs, with the given fields."""
+    return b'\r\n'.join(
+        (status_line, f'{wire.SIGNATURE}: s'.encode(), fields, b'', body)
+    )
--- /dev/null
+++ b/tests/contract/test_broken_answers.py
@@ -0,0 +1,107 @@
+"""Answers that are malformed are not delivered.
+
+A backend server in trouble sends a head that is corrupt. The HTTP library
+skips what it cannot parse and takes other bytes for the body than the server
+meant, so the caller got a success with a body that was not the server's.
+"""
+
+import unittest
+
+from cardamomdeal.backend import connection
+from cardamomdeal.backend import errors
+from cardamomdeal.internal import body_buffer
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import memory_budget
+from tests import broken_answers
+from tests import scripted_server
+
+LIMIT_MS = 2_000
+REQUEST_ID = 'r1'
+ID_HEADER = 'Request-Id'
+SHOWN_BYTES = 120
+
+
+class BrokenAnswersCase(unittest.TestCase):
+    """Test case that exchanges a request for prepared bytes."""
+
+    def connect(self, answer, resets=False):
+        server = scripted_server.ScriptedServer([answer], resets)
+        self.addCleanup(server.close)
+        opened = connection.BackendConnection(
+            server.address, LIMIT_MS, clock.Clock()
+        )
+        self.addCleanup(opened.close)
+        return opened
+
+    def assert_delivered(self, answer, status, body, method='GET'):
+        for exchange in EXCHANGES:
+            with self.subTest(
+                answer=answer[:SHOWN_BYTES], exchange=exchange.__name__
+            ):
+                opened = self.connect(answer)
+                self.assertEqual((status, body), exchange(opened, method))
+
+    def assert_refused(self, answer, method='GET'):
+        for exchange in EXCHANGES:
+            with self.subTest(
+                answer=answer[:SHOWN_BYTES], exchange=exchange.__name__
+            ):
+                opened = self.connect(answer)
+                with self.assertRaises(errors.ExchangeBroken):
+                    exchange(opened, method)
+                self.assertFalse(opened.is_usable())
+
+
+class InvalidLengthTest(BrokenAnswersCase):
+    """The caller got the rest of the connection as the body."""
+
+    def test_invalid_length_is_refused(self):
+        for field in broken_answers.INVALID_LENGTHS:
+            self.assert_refused(broken_answers.answer(field))
+
+    def test_invalid_transfer_coding_is_refused(self):
+        for field in broken_answers.INVALID_CODINGS:
+            self.assert_refused(
+                broken_answers.answer(field, body=broken_answers.CHUNKED_BODY)
+            )
+
+    def test_valid_length_is_read(self):
+        for field in broken_answers.VALID_LENGTHS:
+            self.assert_delivered(broken_answers.answer(field), 200, b'body')
+
+    def test_valid_transfer_coding_is_read(self):
+        for field in broken_answers.VALID_CODINGS:
+            self.assert_delivered(
+                broken_answers.answer(field, body=broken_answers.CHUNKED_BODY),
+                200,
+                b'body',
+            )
+
+
+def _exchange_buffered(opened, method):
+    request = connection.BufferedRequest(
+        method, '/', (), body_buffer.Body(), ID_HEADER, REQUEST_ID
+    )
+    response = opened.exchange_buffered(request, _limit(), None)
+    body = response.buffered_body(
+        memory_budget.Reservation(memory_budget.MemoryBudget(1_000_000))
+    )
+    return response.status, b''.join(body.parts)
+
+
+def _exchange_streamed(opened, method):
+    request = connection.Request(REQUEST_ID, method, '/', (), None, None)
+    response = opened.exchange(request, _limit())
+    return response.status, b''.join(response.body())
+
+
+def _limit():
+    return connection.TimeLimit(
+        clock.Clock().now_ms() + LIMIT_MS, idle_timeout_ms=LIMIT_MS
+    )
+
+
+EXCHANGES = (_exchange_buffered, _exchange_streamed)
+
+if __name__ == '__main__':
+    unittest.main()
