Refuse answers whose head has a line that is no field

Seen by callers: a server in trouble sends a line without a colon, or one that begins with a blank or a colon, in the head of a signed 200. Callers got a 200 whose body ran to the close of the connection where the length came after the line, and else a 200 that had lost the fields after it.

Cause: the HTTP library ends a head at the first line that it cannot parse and drops what follows, the length too. A line that begins with a blank is joined to the field before it. The client library only logs a warning.

Change: the lines of a head, and of the interim responses before it, are kept as they arrive, and the answer is broken unless each is a field. What the library parses is then what the server sent. A field that goes on on a second line, which RFC 9112 lets a proxy refuse, is refused too: the blank may be a corrupted byte.

Result: all of these answers are refused, at the host and on the connection.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -154,12 +154,25 @@
     of the trailers, so a response that breaks off there would look complete.
     """
 
+    def __init__(self, stream: io.RawIOBase) -> None:
+        super().__init__(stream)
+        self._is_in_head = True
+        self._head_lines: list[bytes] = []
+
+    def end_head(self) -> list[bytes]:
+        """Return the lines read so far; those that follow are not kept."""
+        self._is_in_head = False
+        lines, self._head_lines = self._head_lines, []
+        return lines
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Read one line; raise IncompleteRead if the stream ends in it."""
         line = super().readline(size)
         is_cut_by_size = size is not None and 0 <= size <= len(line)
         if not line.endswith(b'\n') and not is_cut_by_size:
             raise http.client.IncompleteRead(line)
+        if self._is_in_head:
+            self._head_lines.append(line)
         return line
 
 
@@ -184,6 +197,7 @@
     def begin(self) -> None:
         """Read the head; raise AnswerBroken if it is malformed."""
         super().begin()
+        response_head.check_lines(self.fp.end_head())
         self.framing = response_head.parse_framing(
             self.headers.get_all('Content-Length', ()),
             self.headers.get_all('Transfer-Encoding', ()),
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -4,12 +4,18 @@
 for the body than the server meant.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 import re
 
 from cardamomdeal.backend import errors
 
+# Limit of what an error quotes from a head.
+MAX_SHOWN_LENGTH = 32
+# A line that begins with a blank continues the field before it, which is
+# obsolete; the blank may also stand for a byte that was corrupted.
+_FIELD_LINE = re.compile(rb'[^\s:][^:]*:.*', re.DOTALL)
 _LENGTH = re.compile(r'[0-9]{1,18}')
 _BLANKS = ' \t'
 
@@ -34,6 +40,24 @@
 Framing = FixedLength | Chunked | UntilClose
 
 
+def check_lines(lines: Iterable[bytes]) -> None:
+    """Raise AnswerBroken unless the lines of the heads are well-formed.
+
+    They are the lines of a response's head and of the interim ones before it.
+    """
+    is_status_line = True
+    for line in lines:
+        content = line.removesuffix(b'\n').removesuffix(b'\r')
+        if is_status_line:
+            is_status_line = False
+        elif not content:
+            is_status_line = True
+        elif not _FIELD_LINE.fullmatch(content):
+            raise errors.AnswerBroken(
+                f'{content[:MAX_SHOWN_LENGTH]!r} is no header'
+            )
+
+
 def parse_framing(lengths: Sequence[str], codings: Sequence[str]) -> Framing:
     """Return how the body ends; raise AnswerBroken if that is not clear.
 
@@ -67,4 +91,4 @@
 
 
 def _shorten(text: str) -> str:
-    return repr(text[:32])
+    return repr(text[:MAX_SHOWN_LENGTH])
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -62,6 +62,21 @@
 )
 
 
+# Lines of a head that are no fields, or that continue the field before.
+MALFORMED_LINES = (
+    b'no field',
+    b'Content-Length 4',
+    b'Content-Length; 4',
+    b': 4',
+    b' Content-Length: 4',
+    b'\tContent-Length: 4',
+    b'no field\r\nContent-Length: 4',
+    b'no field\nContent-Length: 4',
+    b'Content-Length: 4\r\nno field',
+    b'Content-Length: 4\r\n: 4',
+    b'Content-Length: 4\r\nX: 1\r\n 2',
+    b'Content-Length: 4\r\nX: 1\r\n ',
+)
 CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
 
 
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -78,6 +78,34 @@
             )
 
 
+class MalformedLineTest(BrokenAnswersCase):
+    """The fields after the line were lost, or taken for a part of another."""
+
+    def test_line_that_is_no_field_is_refused(self):
+        for line in broken_answers.MALFORMED_LINES:
+            self.assert_refused(broken_answers.answer(line))
+
+    def test_malformed_interim_response_is_refused(self):
+        answer = broken_answers.answer(b'Content-Length: 4', body=b'body')
+        for line in (b'no field', b' X: 1', b': 1'):
+            self.assert_refused(
+                b'HTTP/1.1 100 Continue\r\n' + line + b'\r\n\r\n' + answer
+            )
+
+    def test_interim_response_is_skipped(self):
+        answer = broken_answers.answer(b'Content-Length: 4', body=b'body')
+        for fields in (b'', b'X: 1\r\n'):
+            self.assert_delivered(
+                b'HTTP/1.1 100 Continue\r\n' + fields + b'\r\n' + answer,
+                200,
+                b'body',
+            )
+
+    def test_lines_may_end_without_carriage_return(self):
+        answer = broken_answers.answer(b'Content-Length: 4')
+        self.assert_delivered(answer.replace(b'\r\n', b'\n'), 200, b'body')
+
+
 def _exchange_buffered(opened, method):
     request = connection.BufferedRequest(
         method, '/', (), body_buffer.Body(), ID_HEADER, REQUEST_ID
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -40,3 +40,11 @@
                 for field in broken_answers.INVALID_LENGTHS
             ]
         )
+
+    def test_answers_with_malformed_lines_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(line)
+                for line in broken_answers.MALFORMED_LINES
+            ]
+        )
