Refuse answers with a malformed name in their head

Seen by callers: a server in trouble sends a name that holds a blank, a control byte or another byte that no name may hold, in a signed 200. Callers got a 200 with that line among its headers. Where it was the line of the length ("Content-Length : 4"), the body ran to the close of the connection.

Cause: the HTTP library takes any bytes before the first colon of a line for the name, and compares them as they are with the names that it looks for.

Evidence: the new tests on the code before. At a running entry host, 18 of 18 such answers came as 200. On the connection to the server, 23 of 36 exchanges ended without an error.

Change: the name of each field must be a token (RFC 9110, 5.6.2).

Result: all of these answers are refused, at the host and on the connection; names of every character that a token may hold are read as before.

--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -15,7 +15,7 @@
 MAX_SHOWN_LENGTH = 32
 # A line that begins with a blank continues the field before it, which is
 # obsolete; the blank may also stand for a byte that was corrupted.
-_FIELD_LINE = re.compile(rb'[^\s:][^:]*:.*', re.DOTALL)
+_FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*", re.DOTALL)
 _LENGTH = re.compile(r'[0-9]{1,18}')
 _BLANKS = ' \t'
 
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -77,6 +77,27 @@
     b'Content-Length: 4\r\nX: 1\r\n 2',
     b'Content-Length: 4\r\nX: 1\r\n ',
 )
+# Names with bytes that no name may hold.
+MALFORMED_NAMES = (
+    b'Content-Length : 4',
+    b'Content-Length\t: 4',
+    b'Content Length: 4',
+    b'Content\x00Length: 4',
+    b'Content-Length\x01: 4',
+    b'\x00Content-Length: 4',
+    b'Content\rLength: 4',
+    b'Content-Length\x7f: 4',
+    b'Content-Length\xa0: 4',
+    b'\xc3ontent-Length: 4',
+    b'Content(Length: 4',
+    b'"Content-Length": 4',
+    b'Transfer-Encoding : chunked',
+    b'Content-Length: 4\r\nX : 1',
+    b'Content-Length: 4\r\nX y: 1',
+    b'Content-Length: 4\r\nX\x00y: 1',
+    b'Content-Length: 4\r\nX\x1f: 1',
+    b'Content-Length: 4\r\nFrom y: 1',
+)
 CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
 
 
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -106,6 +106,23 @@
         self.assert_delivered(answer.replace(b'\r\n', b'\n'), 200, b'body')
 
 
+class MalformedNameTest(BrokenAnswersCase):
+    """The length was not recognised, or the line was forwarded."""
+
+    def test_malformed_name_is_refused(self):
+        for field in broken_answers.MALFORMED_NAMES:
+            self.assert_refused(broken_answers.answer(field))
+
+    def test_any_token_is_a_name(self):
+        self.assert_delivered(
+            broken_answers.answer(
+                b"!#$%&'*+-.^_`|~0aZ: 1\r\nContent-Length: 4"
+            ),
+            200,
+            b'body',
+        )
+
+
 def _exchange_buffered(opened, method):
     request = connection.BufferedRequest(
         method, '/', (), body_buffer.Body(), ID_HEADER, REQUEST_ID
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -48,3 +48,11 @@
                 for line in broken_answers.MALFORMED_LINES
             ]
         )
+
+    def test_answers_with_malformed_names_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(field)
+                for field in broken_answers.MALFORMED_NAMES
+            ]
+        )
