Show that an answer with status 000 is refused

Reported of other systems: a server in trouble sends an answer with status 000, and the client gets it as an answer.

This system refuses it: the HTTP library takes a status below 100, or one that is no number, for a broken response, so the caller gets 502 or, for idempotent work, the answer of another server.

--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -98,6 +98,21 @@
     b'Content-Length: 4\r\nX\x1f: 1',
     b'Content-Length: 4\r\nFrom y: 1',
 )
+# The HTTP library refuses these.
+INVALID_STATUSES = (
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 000',
+    b'HTTP/1.1 0 OK',
+    b'HTTP/1.1 099 OK',
+    b'HTTP/1.1 20 OK',
+    b'HTTP/1.1 2000 OK',
+    b'HTTP/1.1 -200 OK',
+    b'HTTP/1.1 2O0 OK',
+    b'HTTP/1.1 OK',
+    b'HTTP/1.1',
+    b'HTTP/2.0 200 OK',
+    b'http/1.1 200 OK',
+)
 CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
 
 
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -123,6 +123,16 @@
         )
 
 
+class MalformedStatusLineTest(BrokenAnswersCase):
+    """A response that is none in the protocol is no answer."""
+
+    def test_invalid_status_is_refused(self):
+        for line in broken_answers.INVALID_STATUSES:
+            self.assert_refused(
+                broken_answers.answer(b'Content-Length: 4', line)
+            )
+
+
 def _exchange_buffered(opened, method):
     request = connection.BufferedRequest(
         method, '/', (), body_buffer.Body(), ID_HEADER, REQUEST_ID
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -56,3 +56,11 @@
                 for field in broken_answers.MALFORMED_NAMES
             ]
         )
+
+    def test_answers_with_invalid_status_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(b'Content-Length: 4', line)
+                for line in broken_answers.INVALID_STATUSES
+            ]
+        )
