Refuse answers with a malformed status line

Seen by callers: a server in trouble sends a status line that is none in the protocol (" +200", "600", "HTTP/1.x", a control byte in the reason), or an interim response (1xx) as its last one, signed. Callers of an entry host got it as an answer; after a 101 or 103 they waited for a final one.

Cause: the HTTP library splits the line at any white space, converts the status with `int`, accepts up to 999, and looks at the first seven characters of the version only. Of the interim responses it skips only 100.

Evidence: the new tests on the code before. At a running entry host, 16 of 16 such answers came as answers, and 32 of 32 exchanges on the connection to the server ended without an error. Status 000 was refused already.

Change: a status line must have the form of RFC 9112, section 4, and the status of an answer must be from 200 to 599.

Result: all of these answers are refused, at the host and on the connection; an absent reason and any text in it are read as before.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -198,6 +198,7 @@
         """Read the head; raise AnswerBroken if it is malformed."""
         super().begin()
         response_head.check_lines(self.fp.end_head())
+        response_head.check_status(self.status)
         self.framing = response_head.parse_framing(
             self.headers.get_all('Content-Length', ()),
             self.headers.get_all('Transfer-Encoding', ()),
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -13,6 +13,12 @@
 
 # Limit of what an error quotes from a head.
 MAX_SHOWN_LENGTH = 32
+# Interim responses (1xx) precede a final one.
+FINAL_STATUSES = range(200, 600)
+# A reason phrase holds no control characters but tabs.
+_STATUS_LINE = re.compile(
+    rb'HTTP/1\.[0-9] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?'
+)
 # A line that begins with a blank continues the field before it, which is
 # obsolete; the blank may also stand for a byte that was corrupted.
 _FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*", re.DOTALL)
@@ -49,6 +55,10 @@
     for line in lines:
         content = line.removesuffix(b'\n').removesuffix(b'\r')
         if is_status_line:
+            if not _STATUS_LINE.fullmatch(content):
+                raise errors.AnswerBroken(
+                    f'{content[:MAX_SHOWN_LENGTH]!r} is no status line'
+                )
             is_status_line = False
         elif not content:
             is_status_line = True
@@ -58,6 +68,12 @@
             )
 
 
+def check_status(status: int) -> None:
+    """Raise AnswerBroken unless a final response may have this status."""
+    if status not in FINAL_STATUSES:
+        raise errors.AnswerBroken(f'{status} is no status of an answer')
+
+
 def parse_framing(lengths: Sequence[str], codings: Sequence[str]) -> Framing:
     """Return how the body ends; raise AnswerBroken if that is not clear.
 
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -113,6 +113,25 @@
     b'HTTP/2.0 200 OK',
     b'http/1.1 200 OK',
 )
+# The HTTP library accepts these.
+MALFORMED_STATUS_LINES = (
+    b'HTTP/1.1 +200 OK',
+    b'HTTP/1.1 0200 OK',
+    b'HTTP/1.1  200 OK',
+    b'HTTP/1.1\t200 OK',
+    b' HTTP/1.1 200 OK',
+    b'HTTP/1.1 200\x0bOK',
+    b'HTTP/1.1 200 O\x00K',
+    b'HTTP/1.1 200 O\rK',
+    b'HTTP/1.1 600 OK',
+    b'HTTP/1.1 999 OK',
+    b'HTTP/1.1 101 OK',
+    b'HTTP/1.1 103 OK',
+    b'HTTP/1. 200 OK',
+    b'HTTP/1.x 200 OK',
+    b'HTTP/1.1x 200 OK',
+    b'HTTP/1.1\x00 200 OK',
+)
 CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
 
 
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -132,6 +132,22 @@
                 broken_answers.answer(b'Content-Length: 4', line)
             )
 
+    def test_malformed_status_line_is_refused(self):
+        for line in broken_answers.MALFORMED_STATUS_LINES:
+            self.assert_refused(
+                broken_answers.answer(b'Content-Length: 4', line)
+            )
+
+    def test_reason_phrase_is_optional(self):
+        for reason in (b'', b' ', b' OK', b' \xc3\x85\tOK'):
+            for status in (200, 418, 599):
+                line = b'HTTP/1.1 %d' % status + reason
+                self.assert_delivered(
+                    broken_answers.answer(b'Content-Length: 4', line),
+                    status,
+                    b'body',
+                )
+
 
 def _exchange_buffered(opened, method):
     request = connection.BufferedRequest(
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -64,3 +64,11 @@
                 for line in broken_answers.INVALID_STATUSES
             ]
         )
+
+    def test_answers_with_malformed_status_line_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(b'Content-Length: 4', line)
+                for line in broken_answers.MALFORMED_STATUS_LINES
+            ]
+        )
