Refuse answers with control characters in a value of their head

Seen by callers: a server in trouble sends a value with a carriage return or another control byte, in a signed 200. "X: 1\rContent-Length: 2" in place of a length cut the body to two bytes; other values reached the callers as they were or as two headers.

Cause: the HTTP library reads lines up to a line feed, and then ends them again at each carriage return. It checks no other byte.

Evidence: the new tests on the code before. At a running entry host, 7 of 7 such answers came as 200, and 14 of 14 exchanges on the connection to the server ended without an error.

Change: a value holds no control characters but tabs (RFC 9110, 5.5).

Result: all of these answers are refused, at the host and on the connection; other bytes of a value are read as before.

--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -15,13 +15,13 @@
 MAX_SHOWN_LENGTH = 32
 # Interim responses (1xx) precede a final one.
 FINAL_STATUSES = range(200, 600)
-# A reason phrase holds no control characters but tabs.
-_STATUS_LINE = re.compile(
-    rb'HTTP/1\.[0-9] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?'
-)
+# Text of reason phrases and values: no control characters but tabs. The
+# library ends a line at a carriage return anywhere in it.
+_TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
+_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}(?: ' + _TEXT + rb')?')
 # A line that begins with a blank continues the field before it, which is
 # obsolete; the blank may also stand for a byte that was corrupted.
-_FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*", re.DOTALL)
+_FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT)
 _LENGTH = re.compile(r'[0-9]{1,18}')
 _BLANKS = ' \t'
 
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -132,6 +132,16 @@
     b'HTTP/1.1x 200 OK',
     b'HTTP/1.1\x00 200 OK',
 )
+# Values with bytes that no value may hold.
+MALFORMED_VALUES = (
+    b'X: 1\rContent-Length: 2',
+    b'Content-Length: 4\r\nX: 1\rY: 2',
+    b'Content-Length: 4\r\nX: 1\r',
+    b'Content-Length: 4\r\nX: \x00',
+    b'Content-Length: 4\r\nX: 1\x01',
+    b'Content-Length: 4\r\nX: \x0b1',
+    b'Content-Length: 4\r\nX:\x7f',
+)
 CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
 
 
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -149,6 +149,21 @@
                 )
 
 
+class MalformedValueTest(BrokenAnswersCase):
+    """A carriage return split a value into two headers."""
+
+    def test_malformed_value_is_refused(self):
+        for field in broken_answers.MALFORMED_VALUES:
+            self.assert_refused(broken_answers.answer(field))
+
+    def test_any_text_is_a_value(self):
+        self.assert_delivered(
+            broken_answers.answer(b'X: \t\xff: ~\r\nContent-Length: 4'),
+            200,
+            b'body',
+        )
+
+
 def _exchange_buffered(opened, method):
     request = connection.BufferedRequest(
         method, '/', (), body_buffer.Body(), ID_HEADER, REQUEST_ID
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -72,3 +72,11 @@
                 for line in broken_answers.MALFORMED_STATUS_LINES
             ]
         )
+
+    def test_answers_with_malformed_values_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(field)
+                for field in broken_answers.MALFORMED_VALUES
+            ]
+        )
