Refuse a part of an answer whose connection was reset during the upload

Seen by callers: a server answers a long upload at once with a signed 200 that has no length, sends a part of its body and resets the connection while the upload is still being sent. The caller got the part as a complete answer.

Cause: the kernel reports a reset once. When a write of the upload got it, the host went on to read the answer, as the server may have refused the upload; the bytes that had arrived were then followed by a regular end of the stream, which ends a body without a length.

Change: after a write has reported that the connection is gone, only an answer that states its end can be complete. The streamed exchange refuses answers that do not state their end in any case.

Answers with a length or in chunks to an upload that was not read to its end are delivered as before.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -365,6 +365,7 @@
         """
         self.reusable = False
         self.apply_time_limit(limit)
+        was_reset = False
         try:
             self._send_head(request)
             sent_completely = self._send_body(request.body, limit, watcher)
@@ -374,6 +375,7 @@
             # The server may have responded before it had read the whole
             # request; that response can still be read.
             sent_completely = False
+            was_reset = True
         except (http.client.HTTPException, OSError, ValueError) as error:
             raise errors.ExchangeBroken(str(error)) from error
         self._wait_for_response(limit, watcher)
@@ -383,6 +385,10 @@
             # It may be a copy of the response to an earlier request.
             raise errors.AnswerBroken('the answer does not say to what')
         self._was_used = True
+        if was_reset:
+            # The write has reported the reset, so that reading will end as if
+            # the server had closed the connection.
+            self._check_end_is_stated(response)
         self._record_keep_alive(response)
         if not sent_completely:
             response.prevent_reuse()
@@ -524,9 +530,13 @@
         self._check_request_id(
             response, header_fields.REQUEST_ID, request.request_id
         )
-        if not response.has_delimited_body and request.method != 'HEAD':
+        if request.method != 'HEAD':
             # The close of the connection would be the only end of the body,
             # so a truncated body would look complete.
+            self._check_end_is_stated(response)
+
+    def _check_end_is_stated(self, response: Response) -> None:
+        if not response.has_delimited_body:
             raise errors.AnswerBroken('the answer does not state its end')
 
     def _record_keep_alive(self, response: Response) -> None:
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -5,10 +5,12 @@
 meant, so the caller got a success with a body that was not the server's.
 """
 
+import socket
 import unittest
 
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import errors
+from cardamomdeal.internal import address
 from cardamomdeal.internal import body_buffer
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import memory_budget
@@ -19,6 +21,9 @@
 REQUEST_ID = 'r1'
 ID_HEADER = 'Request-Id'
 SHOWN_BYTES = 120
+UPLOAD_BYTES = 256 * 1024
+# Less than an upload of this size takes.
+CLOCK_READINGS = 10
 
 
 class BrokenAnswersCase(unittest.TestCase):
@@ -164,6 +169,68 @@
         )
 
 
+class ResetDuringUploadTest(unittest.TestCase):
+    """A server answers without a length and resets before the upload ends.
+
+    The caller got the part of the body that had arrived as a whole answer.
+    """
+
+    def exchange(self, reset_at_reading):
+        """Upload, with the reset at the given reading of the clock."""
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            time = _InterruptingClock(reset_at_reading)
+            opened = connection.BackendConnection(
+                address.Address(*listener.getsockname()), LIMIT_MS, time
+            )
+            self.addCleanup(opened.close)
+            accepted, _ = listener.accept()
+        self.addCleanup(accepted.close)
+        time.interruption = lambda: self._answer_part(accepted)
+        request = connection.BufferedRequest(
+            'POST',
+            '/',
+            (('Content-Length', str(UPLOAD_BYTES)),),
+            body_buffer.Body((bytes(UPLOAD_BYTES),)),
+            ID_HEADER,
+            REQUEST_ID,
+        )
+        response = opened.exchange_buffered(request, _limit(), None)
+        return response.buffered_body(
+            memory_budget.Reservation(memory_budget.MemoryBudget(1_000_000))
+        )
+
+    def _answer_part(self, accepted):
+        accepted.sendall(broken_answers.answer(b'X: 1', body=b'part'))
+        accepted.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, scripted_server.RESET
+        )
+        accepted.close()
+
+    def test_answer_that_is_reset_is_not_complete(self):
+        for reading in range(1, 1 + CLOCK_READINGS):
+            with (
+                self.subTest(reset_at_reading=reading),
+                self.assertRaises(errors.ExchangeBroken),
+            ):
+                self.exchange(reading)
+
+
+class _InterruptingClock(clock.Clock):
+    """Clock at one of whose readings the thread is interrupted."""
+
+    def __init__(self, reading):
+        super().__init__()
+        self._unread_count = reading
+        self.interruption = None
+
+    def now_ms(self):
+        if self.interruption is not None:
+            self._unread_count -= 1
+            if not self._unread_count:
+                self.interruption()
+        return super().now_ms()
+
+
 def _exchange_buffered(opened, method):
     request = connection.BufferedRequest(
         method, '/', (), body_buffer.Body(), ID_HEADER, REQUEST_ID
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -1,8 +1,14 @@
 """Entry hosts give no malformed answer of a backend server to a caller."""
 
+import socket
+
 from cardamomdeal.platform import wire
 from tests import broken_answers
 from tests import entry_case
+from tests import scripted_server
+
+UPLOAD_BYTES = 4_000_000
+UPLOADS = 100
 
 
 class BrokenAnswersTest(entry_case.EntryHostCase):
@@ -80,3 +86,35 @@
                 for field in broken_answers.MALFORMED_VALUES
             ]
         )
+
+
+class ResettingBackend(entry_case.FaultyBackend):
+    """Backend server that answers an upload at once in part and resets."""
+
+    def answer(self, opened, request):
+        opened.sendall(broken_answers.answer(b'X: 1', body=b'part'))
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, scripted_server.RESET
+        )
+
+
+class ResetDuringUploadTest(entry_case.EntryHostCase):
+    """A server resets its connection while an upload is still being sent.
+
+    The answer has no length, so the part that had arrived looked complete.
+    """
+
+    def test_answer_that_is_reset_is_not_complete(self):
+        server = ResettingBackend('i-3')
+        self.addCleanup(server.stop)
+        self.store.put('servers/i-3', server.store_entry())
+        self.put_configuration(2, ['faulty'], max_body_bytes=UPLOAD_BYTES)
+        self.wait_until(
+            lambda: self.send(self.hosts[0], 'faulty', 'r').status != 404
+        )
+        for number in range(UPLOADS):
+            response = self.send(
+                self.hosts[0], 'faulty', f'r{number}', bytes(UPLOAD_BYTES)
+            )
+            with self.subTest(upload=number):
+                self.assertIn(response.status, (502, 503, 504))
