Refuse answers whose chunks are malformed

Seen by callers: a server in trouble sends chunks that are longer than their size, a size that is no number, or a size that was corrupted to that of the last chunk, in a signed 200. Callers got a 200 whose body was cut there. After a negative size they got a 500, and idempotent work was not tried elsewhere.

Cause: the HTTP library skips the two bytes after a chunk, whatever they are, converts sizes with `int`, and skips all lines after the last chunk up to an empty one, as trailers. A negative size ends in a ValueError, which nothing took for a broken answer.

Change: the lines between chunks are checked as they are read: a chunk ends with CR LF, a size consists of hexadecimal digits, and what follows the last chunk are fields. Extensions, blanks after a size and trailers are accepted as before.

Result: all of these answers are refused, at the host and on the connection.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -16,6 +16,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from cardamomdeal.backend import chunk_lines
 from cardamomdeal.backend import errors
 from cardamomdeal.backend import header_fields
 from cardamomdeal.backend import response_head
@@ -147,8 +148,8 @@
         super().close()
 
 
-class _LineReader(io.BufferedReader):
-    """Buffered stream in which a line without an end is an error.
+class _StrictReader(io.BufferedReader):
+    """Buffered stream of a response whose lines are checked.
 
     The standard library takes the end of the stream for the end of a head or
     of the trailers, so a response that breaks off there would look complete.
@@ -156,25 +157,35 @@
 
     def __init__(self, stream: io.RawIOBase) -> None:
         super().__init__(stream)
-        self._is_in_head = True
         self._head_lines: list[bytes] = []
+        # None until the head has been read.
+        self._chunk_lines: chunk_lines.ChunkLines | None = None
+        self._last_bytes = b''
 
     def end_head(self) -> list[bytes]:
-        """Return the lines read so far; those that follow are not kept."""
-        self._is_in_head = False
+        """Return the lines of the head; those that follow are of chunks."""
+        self._chunk_lines = chunk_lines.ChunkLines()
         lines, self._head_lines = self._head_lines, []
         return lines
 
     def readline(self, size: int | None = -1, /) -> bytes:
-        """Read one line; raise IncompleteRead if the stream ends in it."""
+        """Read one line; raise IncompleteRead or AnswerBroken."""
         line = super().readline(size)
         is_cut_by_size = size is not None and 0 <= size <= len(line)
         if not line.endswith(b'\n') and not is_cut_by_size:
             raise http.client.IncompleteRead(line)
-        if self._is_in_head:
+        if self._chunk_lines is None:
             self._head_lines.append(line)
+        else:
+            self._chunk_lines.check(line, self._last_bytes)
         return line
 
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Read some bytes of the body."""
+        data = super().read(size)
+        self._last_bytes = data[-len(chunk_lines.CHUNK_END) :]
+        return data
+
 
 class _LimitedResponse(http.client.HTTPResponse):
     """Response that limits its time and size and detects trailing bytes."""
@@ -192,7 +203,7 @@
     ) -> None:
         super().__init__(sock, *arguments, **keywords)
         self.reader = _LimitedReader(self.fp.detach(), limit, time)
-        self.fp = _LineReader(self.reader)
+        self.fp = _StrictReader(self.reader)
 
     def begin(self) -> None:
         """Read the head; raise AnswerBroken if it is malformed."""
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -11,7 +11,7 @@
 
 from cardamomdeal.backend import errors
 
-# Limit of what an error quotes from a head.
+# Limit of what an error quotes from a response.
 MAX_SHOWN_LENGTH = 32
 # Interim responses (1xx) precede a final one.
 FINAL_STATUSES = range(200, 600)
@@ -53,19 +53,19 @@
     """
     is_status_line = True
     for line in lines:
-        content = line.removesuffix(b'\n').removesuffix(b'\r')
         if is_status_line:
-            if not _STATUS_LINE.fullmatch(content):
-                raise errors.AnswerBroken(
-                    f'{content[:MAX_SHOWN_LENGTH]!r} is no status line'
-                )
+            _check_status_line(line)
             is_status_line = False
-        elif not content:
+        elif _is_empty(line):
             is_status_line = True
-        elif not _FIELD_LINE.fullmatch(content):
-            raise errors.AnswerBroken(
-                f'{content[:MAX_SHOWN_LENGTH]!r} is no header'
-            )
+        else:
+            _check_field(line)
+
+
+def check_trailer(line: bytes) -> None:
+    """Raise AnswerBroken unless the line is a trailer or ends them."""
+    if not _is_empty(line):
+        _check_field(line)
 
 
 def check_status(status: int) -> None:
@@ -88,11 +88,16 @@
         raise errors.AnswerBroken('the answer states two lengths')
     if not _LENGTH.fullmatch(length):
         raise errors.AnswerBroken(
-            f'Content-Length: {_shorten(length)} is not a number of bytes'
+            f'Content-Length: {shorten(length)} is not a number of bytes'
         )
     return FixedLength(int(length))
 
 
+def shorten(text: str | bytes) -> str:
+    """Return the start of a part of a response, quoted for an error."""
+    return repr(text[:MAX_SHOWN_LENGTH])
+
+
 def _parse_codings(codings: Sequence[str], lengths: Sequence[str]) -> Chunked:
     if lengths:
         raise errors.AnswerBroken(
@@ -101,10 +106,26 @@
     coding = ', '.join(codings).strip(_BLANKS)
     if coding.lower() != 'chunked':
         raise errors.AnswerBroken(
-            f'Transfer-Encoding: {_shorten(coding)} is not supported'
+            f'Transfer-Encoding: {shorten(coding)} is not supported'
         )
     return Chunked()
 
 
-def _shorten(text: str) -> str:
-    return repr(text[:MAX_SHOWN_LENGTH])
+def _check_status_line(line: bytes) -> None:
+    content = _without_end(line)
+    if not _STATUS_LINE.fullmatch(content):
+        raise errors.AnswerBroken(f'{shorten(content)} is no status line')
+
+
+def _check_field(line: bytes) -> None:
+    content = _without_end(line)
+    if not _FIELD_LINE.fullmatch(content):
+        raise errors.AnswerBroken(f'{shorten(content)} is no header')
+
+
+def _is_empty(line: bytes) -> bool:
+    return not _without_end(line)
+
+
+def _without_end(line: bytes) -> bytes:
+    return line.removesuffix(b'\n').removesuffix(b'\r')
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -142,6 +142,30 @@
     b'Content-Length: 4\r\nX: \x0b1',
     b'Content-Length: 4\r\nX:\x7f',
 )
+MALFORMED_CHUNKS = (
+    # A chunk that is longer than its size.
+    b'4\r\nbodyXX0\r\n\r\n',
+    b'2\r\nbody0\r\n\r\n',
+    b'4\r\nbody\n\n0\r\n\r\n',
+    # A size that is none.
+    b'+4\r\nbody\r\n0\r\n\r\n',
+    b'-4\r\nbody\r\n0\r\n\r\n',
+    b'0x4\r\nbody\r\n0\r\n\r\n',
+    b'0_4\r\nbody\r\n0\r\n\r\n',
+    b'4\r\nbody\r\n-0\r\n\r\n',
+    b'4\r\nbody\r\n0_0\r\n\r\n',
+    b'4\r\nbody\r\n\r\n',
+    # A chunk whose size was corrupted to that of the last one.
+    b'4\r\nbody\r\n0\r\nmore\r\n0\r\n\r\n',
+    b'4\r\nbody\r\n0\r\n more: 1\r\n\r\n',
+)
+VALID_CHUNKS = (
+    b'4\r\nbody\r\n0\r\n\r\n',
+    b'1\r\nb\r\n003\r\nody\r\n000\r\n\r\n',
+    b'4;name=value\r\nbody\r\n0 ;x\r\n\r\n',
+    b'4  \r\nbody\r\n0\r\nName: value\r\nX:\r\n\r\n',
+    b'2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n',
+)
 CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
 
 
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -169,6 +169,27 @@
         )
 
 
+class MalformedChunksTest(BrokenAnswersCase):
+    """A chunk was cut at a wrong size, and the rest of the body skipped."""
+
+    def answer(self, body):
+        return broken_answers.answer(b'Transfer-Encoding: chunked', body=body)
+
+    def test_malformed_chunks_are_refused(self):
+        for body in broken_answers.MALFORMED_CHUNKS:
+            self.assert_refused(self.answer(body))
+
+    def test_valid_chunks_are_read(self):
+        for body in broken_answers.VALID_CHUNKS:
+            self.assert_delivered(self.answer(body), 200, b'body')
+
+    def test_chunk_that_is_read_in_parts_is_complete(self):
+        part = bytes(range(256)) * 1_024
+        for size in (len(part), connection.CHUNK_BYTES, 65_538, 2, 1):
+            body = b'%x\r\n%b\r\n0\r\n\r\n' % (size, part[:size])
+            self.assert_delivered(self.answer(body), 200, part[:size])
+
+
 class ResetDuringUploadTest(unittest.TestCase):
     """A server answers without a length and resets before the upload ends.
 
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -87,6 +87,14 @@
             ]
         )
 
+    def test_answers_with_malformed_chunks_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(b'Transfer-Encoding: chunked', body=body)
+                for body in broken_answers.MALFORMED_CHUNKS
+            ]
+        )
+
 
 class ResettingBackend(entry_case.FaultyBackend):
     """Backend server that answers an upload at once in part and resets."""
