Do not forward a body behind a response that has none

Seen by callers: a server in trouble sends a body in chunks behind a signed 204 or 304. Callers of an entry host got these bytes behind the response, on a connection that stayed open, where the next response was expected.

Cause: for these statuses and for HEAD the HTTP library expects no body, except that the client library reads chunks for every status but after HEAD. The host forwarded the body without a length, which a 204 does not have.

Evidence: the new tests on the code before. At a running entry host, the second request on the connection failed with a malformed response. On the connection to the server, 4 of 8 exchanges returned a body, and a 204 or 304 that stated chunks without sending any ended in an error.

Change: a response to HEAD and one with status 204 or 304 end with their head; bytes that follow only keep the connection from being reused.

Result: both requests get their 204; the exchanges return no body.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -215,6 +215,11 @@
             self.headers.get_all('Transfer-Encoding', ()),
         )
 
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body follows the head."""
+        return response_head.has_body(self._method, self.status)
+
     def _close_conn(self) -> None:
         if self.fp is not None and not self.will_close:
             self.has_trailing_bytes = self._has_unread_bytes()
@@ -258,12 +263,11 @@
 
     def body(self) -> Iterator[bytes]:
         """Yield the body; raise ExchangeBroken if it is incomplete."""
-        reader = self._http_response.reader
         try:
-            reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
-            for chunk in self._raw.stream(CHUNK_BYTES, decode_content=False):
-                yield chunk
-                reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
+            if self._http_response.has_body:
+                yield from self._received_body()
+            else:
+                self._http_response.close()
         except urllib3.exceptions.ReadTimeoutError as error:
             raise errors.AnswerTimedOut(str(error)) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
@@ -273,6 +277,13 @@
             or self._http_response.will_close
         )
 
+    def _received_body(self) -> Iterator[bytes]:
+        reader = self._http_response.reader
+        reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
+        for chunk in self._raw.stream(CHUNK_BYTES, decode_content=False):
+            yield chunk
+            reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
+
     def buffered_body(
         self, reservation: memory_budget.Reservation
     ) -> body_buffer.Body:
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -15,6 +15,7 @@
 MAX_SHOWN_LENGTH = 32
 # Interim responses (1xx) precede a final one.
 FINAL_STATUSES = range(200, 600)
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 # Text of reason phrases and values: no control characters but tabs. The
 # library ends a line at a carriage return anywhere in it.
 _TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
@@ -74,6 +75,11 @@
         raise errors.AnswerBroken(f'{status} is no status of an answer')
 
 
+def has_body(method: str, status: int) -> bool:
+    """Return whether a body follows the head, whatever its fields state."""
+    return method != 'HEAD' and status not in STATUSES_WITHOUT_BODY
+
+
 def parse_framing(lengths: Sequence[str], codings: Sequence[str]) -> Framing:
     """Return how the body ends; raise AnswerBroken if that is not clear.
 
--- a/src/cardamomdeal/entry/forwarding.py
+++ b/src/cardamomdeal/entry/forwarding.py
@@ -8,6 +8,7 @@
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import errors as backend_errors
 from cardamomdeal.backend import header_fields
+from cardamomdeal.backend import response_head
 from cardamomdeal.balancing import outcomes
 from cardamomdeal.entry import caller
 from cardamomdeal.entry import messages
@@ -28,7 +29,6 @@
 CONNECT_TIMEOUT_MS = 250
 # A process that was starved of CPU for seconds does not recover sooner.
 OVERLOAD_RETRY_AFTER_MS = 1_000
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 log = logging.getLogger(__name__)
 
@@ -273,7 +273,7 @@
         length = str(body.size_bytes)
         if self._request.method == 'HEAD':
             length = backend_response.headers.get('Content-Length', length)
-        if backend_response.status not in STATUSES_WITHOUT_BODY:
+        if backend_response.status not in response_head.STATUSES_WITHOUT_BODY:
             headers.append(('Content-Length', length))
         return caller.Response(backend_response.status, tuple(headers), body)
 
--- a/src/cardamomdeal/gateway/forwarding.py
+++ b/src/cardamomdeal/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from cardamomdeal.backend import connection
 from cardamomdeal.backend import errors as backend_errors
 from cardamomdeal.backend import header_fields
+from cardamomdeal.backend import response_head
 from cardamomdeal.document import model
 from cardamomdeal.gateway import caller
 from cardamomdeal.gateway import errors
@@ -26,7 +27,6 @@
 # request whose thread no longer waits for the dispatcher.
 ADMISSION_VALID_MS = 1_500
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 _UNKNOWN = outcomes.Outcome.UNKNOWN
 
@@ -281,7 +281,7 @@
             not in ('content-length', 'request-id', 'date', 'server')
         ]
         headers.append((header_fields.REQUEST_ID, self._request.request_id))
-        if started.response.status not in STATUSES_WITHOUT_BODY:
+        if started.response.status not in response_head.STATUSES_WITHOUT_BODY:
             headers.extend(self._length_header(started))
         if started.rest is None:
             self.finish(started.completed, started.server_connection)
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -24,6 +24,10 @@
 UPLOAD_BYTES = 256 * 1024
 # Less than an upload of this size takes.
 CLOCK_READINGS = 10
+BODIES = {
+    b'Content-Length: 4': b'body',
+    b'Transfer-Encoding: chunked': broken_answers.CHUNKED_BODY,
+}
 
 
 class BrokenAnswersCase(unittest.TestCase):
@@ -190,6 +194,39 @@
             self.assert_delivered(self.answer(body), 200, part[:size])
 
 
+class ResponseWithoutBodyTest(BrokenAnswersCase):
+    """Some responses have no body, whatever their head states.
+
+    Bytes that followed such a head were sent to the caller behind it, where
+    the next response is expected.
+    """
+
+    def test_bytes_after_the_head_are_no_body(self):
+        for status in (204, 304):
+            for field, body in BODIES.items():
+                line = b'HTTP/1.1 %d Status' % status
+                self.assert_delivered(
+                    broken_answers.answer(field, line, body), status, b''
+                )
+
+    def test_response_to_head_has_no_body(self):
+        for field, body in BODIES.items():
+            self.assert_delivered(
+                broken_answers.answer(field, body=body), 200, b'', 'HEAD'
+            )
+
+    def test_connection_is_reused_only_without_such_bytes(self):
+        for line in (b'HTTP/1.1 204 Status', b'HTTP/1.1 304 Status'):
+            for field, body in BODIES.items():
+                for sent in (b'', body):
+                    with self.subTest(line=line, field=field, sent=sent):
+                        opened = self.connect(
+                            broken_answers.answer(field, line, sent)
+                        )
+                        _exchange_buffered(opened, 'GET')
+                        self.assertEqual(not sent, opened.reusable)
+
+
 class ResetDuringUploadTest(unittest.TestCase):
     """A server answers without a length and resets before the upload ends.
 
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -95,6 +95,21 @@
             ]
         )
 
+    def test_body_of_a_response_without_one_is_not_sent_to_the_caller(self):
+        self.server.part = broken_answers.answer(
+            b'Transfer-Encoding: chunked',
+            b'HTTP/1.1 204 No Content',
+            broken_answers.CHUNKED_BODY,
+        )
+        with self.connect(self.hosts[0]) as opened:
+            for number in range(2):
+                opened.sendall(
+                    f'GET /faulty/x HTTP/1.1\r\nHost: shop.example\r\n'
+                    f'{wire.REQUEST_ID}: r{number}\r\n\r\n'.encode()
+                )
+                response = self.read_response(opened)
+                self.assertEqual((204, b''), (response.status, response.data))
+
 
 class ResettingBackend(entry_case.FaultyBackend):
     """Backend server that answers an upload at once in part and resets."""
