Ignore a load of a server that is no number

Seen by callers: a server sends "Backend-Load: 1/²", or more digits than `int` converts, with a good answer. Callers got a 500 in its place, also after work that had run, and idempotent work was not tried elsewhere.

Cause: of the two numbers only the first was checked to be ASCII, and none for its length, so decoding the head ended in a ValueError.

Evidence: the new tests on the code before.

Change: a load is two numbers of one to six digits; any other value is ignored like an absent one, as the decoder promises.

Result: the answers are delivered, at the host and on the connection.

--- a/src/cardamomdeal/backend/header_fields.py
+++ b/src/cardamomdeal/backend/header_fields.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import re
 
 REQUEST_ID = 'Request-Id'
 DEADLINE = 'Request-Deadline-Ms'
@@ -23,6 +24,8 @@
         'upgrade',
     }
 )
+# Request slots in use and in total.
+_LOAD = re.compile(r'([0-9]{1,6})/([0-9]{1,6})')
 
 
 class Refusal(enum.Enum):
@@ -84,7 +87,7 @@
 
 
 def _decode_load(value: str | None) -> Load | None:
-    used_slots, _, slots = (value or '').partition('/')
-    if not (used_slots.isascii() and used_slots.isdigit() and slots.isdigit()):
+    match = _LOAD.fullmatch(value or '')
+    if match is None:
         return None
-    return Load(int(used_slots), int(slots))
+    return Load(int(match[1]), int(match[2]))
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -166,6 +166,17 @@
     b'4  \r\nbody\r\n0\r\nName: value\r\nX:\r\n\r\n',
     b'2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n',
 )
+# Headers that only inform the host; their value is ignored.
+ODD_LOADS = (
+    b'Backend-Load: 1/\xb2',
+    b'Backend-Load: \xb2/3',
+    b'Backend-Load: 1/' + b'9' * 5_000,
+    b'Backend-Load: ' + b'9' * 5_000 + b'/3',
+    b'Backend-Load: 1/',
+    b'Backend-Load: /',
+    b'Backend-Load: -1/3',
+    b'Backend-Load: 1/3/3',
+)
 CHUNKED_BODY = b'4\r\nbody\r\n0\r\n\r\n'
 
 
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -173,6 +173,18 @@
         )
 
 
+class OddLoadTest(BrokenAnswersCase):
+    """A load that is no number ended the exchange with an internal error."""
+
+    def test_odd_load_is_ignored(self):
+        for field in broken_answers.ODD_LOADS:
+            self.assert_delivered(
+                broken_answers.answer(field + b'\r\nContent-Length: 4'),
+                200,
+                b'body',
+            )
+
+
 class MalformedChunksTest(BrokenAnswersCase):
     """A chunk was cut at a wrong size, and the rest of the body skipped."""
 
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -95,6 +95,14 @@
             ]
         )
 
+    def test_answer_with_odd_load_is_delivered(self):
+        for field in broken_answers.ODD_LOADS:
+            self.server.part = broken_answers.answer(
+                field + b'\r\nContent-Length: 4'
+            )
+            with self.subTest(field=field[:120]):
+                self.assertEqual(200, self.ask('r').status)
+
     def test_body_of_a_response_without_one_is_not_sent_to_the_caller(self):
         self.server.part = broken_answers.answer(
             b'Transfer-Encoding: chunked',
