Report a malformed chunk in an answer of the store as a failed call

Seen: an answer of the store with a chunk of negative size raises a ValueError from the client, which promises a result. The actor or the follower that called logs it and drops the work that it was doing.

Cause: the HTTP library passes the size to a read, and the client only expected the library's own errors.

Change: the error is a failed call, whose outcome is unknown.

--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -262,7 +262,8 @@
                 json=body,
                 timeout=(timeout_ms or self._timeout_ms) / 1000,
             )
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            # urllib3 raises ValueError for a chunk of negative size.
             return Failure(errors.PlatformUnavailable(str(error)))
         return _result_for_status(name, response)
 
--- a/tests/contract/test_store_client.py
+++ b/tests/contract/test_store_client.py
@@ -10,8 +10,11 @@
 from cardamomdeal.platform import store
 from devel import fleet
 from devel import store_standin
+from tests import broken_answers
+from tests import scripted_server
 
 TIMEOUT_MS = 500
+RANGE = b'{"items": [], "has_more": false, "store_revision": 7}'
 
 
 class StoreClientTest(unittest.TestCase):
@@ -83,3 +86,52 @@
                 result = self.client.write('k', b'x')
                 self.assertIsInstance(result, Failure)
                 self.assertIsInstance(result.failure(), expected)
+
+
+class BrokenAnswersTest(unittest.TestCase):
+    """The store's answers are malformed.
+
+    A negative chunk size raised an error that nobody expects from a call.
+    """
+
+    def read(self, answer):
+        server = scripted_server.ScriptedServer([answer])
+        self.addCleanup(server.close)
+        client = store.StoreClient(server.address, TIMEOUT_MS)
+        self.addCleanup(client.close)
+        return client.range('a/')
+
+    def test_malformed_chunks_give_a_failure_or_the_whole_value(self):
+        for body in broken_answers.MALFORMED_CHUNKS:
+            body = body.replace(b'4\r\nbody', b'%x\r\n' % len(RANGE) + RANGE)
+            result = self.read(
+                broken_answers.answer(b'Transfer-Encoding: chunked', body=body)
+            )
+            with self.subTest(body=body):
+                self.assert_failed_or_whole(result)
+
+    def test_malformed_heads_give_a_failure_or_the_whole_value(self):
+        for field in (
+            *broken_answers.INVALID_LENGTHS,
+            *broken_answers.INVALID_CODINGS,
+            *broken_answers.MALFORMED_LINES,
+            *broken_answers.MALFORMED_NAMES,
+            *broken_answers.MALFORMED_VALUES,
+        ):
+            result = self.read(broken_answers.answer(field, body=RANGE))
+            with self.subTest(field=field[:120]):
+                self.assert_failed_or_whole(result)
+
+    def test_invalid_status_gives_a_failure(self):
+        for line in broken_answers.INVALID_STATUSES:
+            length = b'Content-Length: %d' % len(RANGE)
+            result = self.read(broken_answers.answer(length, line, RANGE))
+            with self.subTest(line=line):
+                self.assertIsInstance(result, Failure)
+
+    def assert_failed_or_whole(self, result):
+        match result:
+            case Success(read):
+                self.assertEqual(store.Range((), 7), read)
+            case Failure(error):
+                self.assertIsInstance(error, errors.PlatformError)
