Forward one length for a response that states it twice

Seen by callers: a server answers HEAD with the same Content-Length on two lines. The connection of the caller was closed without a response. A streamed response of the gateway states its length in the same way.

Cause: the values of a repeated header are joined, and "4, 4" was forwarded as the length. The server library converts it to a number and fails.

Evidence: the new test on the code before: of four forms of a valid length, the repeated one ended with the connection closed, and one with trailing blanks was forwarded with them.

Change: the length that was parsed from the head replaces what the server sent.

Result: the four forms reach the caller as the same length.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -248,6 +248,10 @@
         self.status = raw.status
         self.reason = raw.reason or ''
         self.headers = raw.headers
+        match self._http_response.framing:
+            case response_head.FixedLength(length_bytes):
+                # Equal lengths on several lines are forwarded as one.
+                self.headers['Content-Length'] = str(length_bytes)
         self.reported_state = header_fields.decode_reported_state(raw.headers)
 
     @property
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -2,6 +2,8 @@
 
 import socket
 
+import urllib3
+
 from cardamomdeal.platform import wire
 from tests import broken_answers
 from tests import entry_case
@@ -103,6 +105,19 @@
             with self.subTest(field=field[:120]):
                 self.assertEqual(200, self.ask('r').status)
 
+    def test_response_to_head_states_one_length(self):
+        for field in broken_answers.VALID_LENGTHS:
+            self.server.part = broken_answers.answer(field, body=b'')
+            response = urllib3.request(
+                'HEAD',
+                f'http://{entry_case.LOOPBACK}:{self.hosts[0]["callers"]}'
+                '/faulty/x',
+                headers={'Host': 'shop.example', wire.REQUEST_ID: 'r'},
+                retries=False,
+            )
+            with self.subTest(field=field):
+                self.assertEqual('4', response.headers['Content-Length'])
+
     def test_body_of_a_response_without_one_is_not_sent_to_the_caller(self):
         self.server.part = broken_answers.answer(
             b'Transfer-Encoding: chunked',
