Refuse answers in which a lone line feed ends a line

Seen by callers: in a head that a server in trouble sends, a byte is corrupted to a line feed. The head then ends early, and callers of an entry host got a 200 whose body began with the rest of the head.

Cause: the HTTP library takes a line feed for the end of a line, whether a carriage return precedes it or not.

Change: each line of a head, of chunk sizes and of trailers ends with CR LF. RFC 9112 (2.2) lets a recipient accept a lone line feed and does not ask for it. A test that was added with the check of lines expected that it is accepted; this one, which expects the opposite, replaces it.

--- a/src/cardamomdeal/backend/chunk_lines.py
+++ b/src/cardamomdeal/backend/chunk_lines.py
@@ -6,8 +6,6 @@
 from cardamomdeal.backend import response_head
 from cardamomdeal.internal import chunked_body
 
-CHUNK_END = b'\r\n'
-
 
 class _Expected(enum.Enum):
     """What the next line has to be."""
@@ -36,8 +34,9 @@
             case _Expected.TRAILER:
                 response_head.check_trailer(line)
                 return
-            case _Expected.SIZE if bytes_before != CHUNK_END:
+            case _Expected.SIZE if bytes_before != response_head.LINE_END:
                 raise errors.AnswerBroken('a chunk is longer than its size')
+        response_head.check_line_end(line)
         size = line.partition(b';')[0].strip()
         if not chunked_body.CHUNK_SIZE_PATTERN.fullmatch(size):
             raise errors.AnswerBroken(
--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -183,7 +183,7 @@
     def read(self, size: int | None = -1, /) -> bytes:
         """Read some bytes of the body."""
         data = super().read(size)
-        self._last_bytes = data[-len(chunk_lines.CHUNK_END) :]
+        self._last_bytes = data[-len(response_head.LINE_END) :]
         return data
 
 
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -13,6 +13,7 @@
 
 # Limit of what an error quotes from a response.
 MAX_SHOWN_LENGTH = 32
+LINE_END = b'\r\n'
 # Interim responses (1xx) precede a final one.
 FINAL_STATUSES = range(200, 600)
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -63,6 +64,13 @@
             _check_field(line)
 
 
+def check_line_end(line: bytes) -> None:
+    """Raise AnswerBroken unless the line ends with CR LF."""
+    # A lone line feed may be a corrupted byte, and would end a head early.
+    if not line.endswith(LINE_END):
+        raise errors.AnswerBroken(f'{shorten(line)} does not end with CR LF')
+
+
 def check_trailer(line: bytes) -> None:
     """Raise AnswerBroken unless the line is a trailer or ends them."""
     if not _is_empty(line):
@@ -134,4 +142,5 @@
 
 
 def _without_end(line: bytes) -> bytes:
-    return line.removesuffix(b'\n').removesuffix(b'\r')
+    check_line_end(line)
+    return line.removesuffix(LINE_END)
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -98,6 +98,22 @@
     b'Content-Length: 4\r\nX\x1f: 1',
     b'Content-Length: 4\r\nFrom y: 1',
 )
+# Whole answers in which a line feed without a carriage return ends a line.
+BARE_LINE_FEEDS = (
+    b'HTTP/1.1 200 O\n\r\nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\n\nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\r\n\nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\r\nX:\n\nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\r\nX: \nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 4\n\r\nbody',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\n\nbody',
+    b'HTTP/1.1 200 OK\nContent-Length: 4\n\nbody',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'4\nbody\r\n0\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'4\r\nbody\r\n0\r\nX: 1\n\r\n',
+)
 # The HTTP library refuses these.
 INVALID_STATUSES = (
     b'HTTP/1.1 000 OK',
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -110,9 +110,9 @@
                 b'body',
             )
 
-    def test_lines_may_end_without_carriage_return(self):
-        answer = broken_answers.answer(b'Content-Length: 4')
-        self.assert_delivered(answer.replace(b'\r\n', b'\n'), 200, b'body')
+    def test_line_feed_does_not_end_a_line(self):
+        for answer in broken_answers.BARE_LINE_FEEDS:
+            self.assert_refused(answer)
 
 
 class MalformedNameTest(BrokenAnswersCase):
