--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -78,6 +78,14 @@
         for field in broken_answers.VALID_LENGTHS:
             self.assert_delivered(broken_answers.answer(field), 200, b'body')
 
+    def test_answer_without_length_ends_with_its_connection(self):
+        for field in (b'X: 1', b'Connection: close'):
+            with self.subTest(field=field):
+                opened = self.connect(broken_answers.answer(field))
+                self.assertEqual(
+                    (200, b'bodyMORE'), _exchange_buffered(opened, 'GET')
+                )
+
     def test_valid_transfer_coding_is_read(self):
         for field in broken_answers.VALID_CODINGS:
             self.assert_delivered(
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -97,6 +97,15 @@
             ]
         )
 
+    def test_answer_without_length_ends_with_its_connection(self):
+        for field in (b'X: \xc3\x85', b'Connection: close'):
+            self.server.part = broken_answers.answer(field)
+            response = self.ask('r')
+            with self.subTest(field=field):
+                self.assertEqual(
+                    (200, b'bodyMORE'), (response.status, response.data)
+                )
+
     def test_answer_with_odd_load_is_delivered(self):
         for field in broken_answers.ODD_LOADS:
             self.server.part = broken_answers.answer(
