Strip line ends in one place of the checks of responses

A reading aid without a change of behaviour: asking whether a line is empty raised an error as a side effect.

--- a/src/cardamomdeal/backend/chunk_lines.py
+++ b/src/cardamomdeal/backend/chunk_lines.py
@@ -36,8 +36,7 @@
                 return
             case _Expected.SIZE if bytes_before != response_head.LINE_END:
                 raise errors.AnswerBroken('a chunk is longer than its size')
-        response_head.check_line_end(line)
-        size = line.partition(b';')[0].strip()
+        size = response_head.strip_line_end(line).partition(b';')[0].strip()
         if not chunked_body.CHUNK_SIZE_PATTERN.fullmatch(size):
             raise errors.AnswerBroken(
                 f'{response_head.shorten(size)} is not the size of a chunk'
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -55,26 +55,29 @@
     """
     is_status_line = True
     for line in lines:
+        content = strip_line_end(line)
         if is_status_line:
-            _check_status_line(line)
+            _check_status_line(content)
             is_status_line = False
-        elif _is_empty(line):
-            is_status_line = True
+        elif content:
+            _check_field(content)
         else:
-            _check_field(line)
+            is_status_line = True
+
+
+def check_trailer(line: bytes) -> None:
+    """Raise AnswerBroken unless the line is a trailer or ends them."""
+    content = strip_line_end(line)
+    if content:
+        _check_field(content)
 
 
-def check_line_end(line: bytes) -> None:
-    """Raise AnswerBroken unless the line ends with CR LF."""
+def strip_line_end(line: bytes) -> bytes:
+    """Return a line without its end; raise AnswerBroken if it has none."""
     # A lone line feed may be a corrupted byte, and would end a head early.
     if not line.endswith(LINE_END):
         raise errors.AnswerBroken(f'{shorten(line)} does not end with CR LF')
-
-
-def check_trailer(line: bytes) -> None:
-    """Raise AnswerBroken unless the line is a trailer or ends them."""
-    if not _is_empty(line):
-        _check_field(line)
+    return line.removesuffix(LINE_END)
 
 
 def check_status(status: int) -> None:
@@ -125,22 +128,11 @@
     return Chunked()
 
 
-def _check_status_line(line: bytes) -> None:
-    content = _without_end(line)
+def _check_status_line(content: bytes) -> None:
     if not _STATUS_LINE.fullmatch(content):
         raise errors.AnswerBroken(f'{shorten(content)} is no status line')
 
 
-def _check_field(line: bytes) -> None:
-    content = _without_end(line)
+def _check_field(content: bytes) -> None:
     if not _FIELD_LINE.fullmatch(content):
         raise errors.AnswerBroken(f'{shorten(content)} is no header')
-
-
-def _is_empty(line: bytes) -> bool:
-    return not _without_end(line)
-
-
-def _without_end(line: bytes) -> bytes:
-    check_line_end(line)
-    return line.removesuffix(LINE_END)
