Accept fields that go on on a second line again

Seen by callers: since lines that are no field are refused, an answer with a folded field gives 502. It was delivered before, with the value on one line.

Cause: a line that begins with a blank was taken for a malformed field, as the blank may be a corrupted byte.

Change: a line that begins with a blank continues the field before it, if there is one, unless it reads like a field itself, as " Content-Length: 4" does. That may be a field whose start is corrupted, and taking it for a part of a value would lose the length.

--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -21,9 +21,9 @@
 # library ends a line at a carriage return anywhere in it.
 _TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
 _STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}(?: ' + _TEXT + rb')?')
-# A line that begins with a blank continues the field before it, which is
-# obsolete; the blank may also stand for a byte that was corrupted.
 _FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT)
+# A line that begins with a blank continues the field before it.
+_CONTINUATION = re.compile(rb'[ \t]+(' + _TEXT + rb')')
 _LENGTH = re.compile(r'[0-9]{1,18}')
 _BLANKS = ' \t'
 
@@ -54,15 +54,17 @@
     They are the lines of a response's head and of the interim ones before it.
     """
     is_status_line = True
+    has_field = False
     for line in lines:
         content = strip_line_end(line)
         if is_status_line:
             _check_status_line(content)
-            is_status_line = False
-        elif content:
-            _check_field(content)
-        else:
+            is_status_line = has_field = False
+        elif not content:
             is_status_line = True
+        elif not (has_field and _is_continuation(content)):
+            _check_field(content)
+            has_field = True
 
 
 def check_trailer(line: bytes) -> None:
@@ -133,6 +135,14 @@
         raise errors.AnswerBroken(f'{shorten(content)} is no status line')
 
 
+def _is_continuation(content: bytes) -> bool:
+    continuation = _CONTINUATION.fullmatch(content)
+    # One that reads like a field may be a field whose start is corrupted.
+    return continuation is not None and not _FIELD_LINE.fullmatch(
+        continuation[1]
+    )
+
+
 def _check_field(content: bytes) -> None:
     if not _FIELD_LINE.fullmatch(content):
         raise errors.AnswerBroken(f'{shorten(content)} is no header')
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -109,6 +109,21 @@
                 b'HTTP/1.1 100 Continue\r\n' + line + b'\r\n\r\n' + answer
             )
 
+    def test_line_after_the_status_line_continues_no_field(self):
+        for line in (b' 1', b'\t', b' X: 1'):
+            self.assert_refused(
+                b'HTTP/1.1 200 OK\r\n' + line + b'\r\nContent-Length: 4'
+                b'\r\n\r\nbody'
+            )
+
+    def test_folded_field_is_read(self):
+        for field in broken_answers.FOLDED_FIELDS:
+            self.assert_delivered(
+                broken_answers.answer(field + b'\r\nContent-Length: 4'),
+                200,
+                b'body',
+            )
+
     def test_interim_response_is_skipped(self):
         answer = broken_answers.answer(b'Content-Length: 4', body=b'body')
         for fields in (b'', b'X: 1\r\n'):
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -106,6 +106,18 @@
                     (200, b'bodyMORE'), (response.status, response.data)
                 )
 
+    def test_folded_field_is_forwarded_on_one_line(self):
+        for field, value in broken_answers.FOLDED_FIELDS.items():
+            self.server.part = broken_answers.answer(
+                field + b'\r\nContent-Length: 4'
+            )
+            response = self.ask('r')
+            with self.subTest(field=field):
+                self.assertEqual(
+                    (200, value),
+                    (response.status, response.headers['X'].strip()),
+                )
+
     def test_answer_with_odd_load_is_delivered(self):
         for field in broken_answers.ODD_LOADS:
             self.server.part = broken_answers.answer(
