Refuse chunks whose transfer coding has a corrupted name

Seen by callers: a server in trouble corrupts a byte of "Transfer-Encoding" so that another valid name comes out, in a signed 200. Callers of an entry host got the chunks with their sizes as the body.

Cause: the answer states neither a length nor a coding then, and ends with its connection, which is allowed.

The new tests on the code before: 4 of 4 such answers came as 200 at a running entry host, and 4 of 8 exchanges on the connection to the server ended without an error.

Change: where an answer would end with its connection, a header whose value is "chunked" is taken for the transfer coding, and the answer is refused. Other answers without a length are delivered as before.

Result: all of these answers are refused, at the host and on the connection.

The tables of the tests lose a first definition of the valid lengths, which the second one had replaced; no test used it.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -214,6 +214,11 @@
             self.headers.get_all('Content-Length', ()),
             self.headers.get_all('Transfer-Encoding', ()),
         )
+        match self.framing:
+            case response_head.UntilClose():
+                response_head.check_values_without_framing(
+                    self.headers.values()
+                )
 
     @property
     def has_body(self) -> bool:
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -112,6 +112,18 @@
     return FixedLength(int(length))
 
 
+def check_values_without_framing(values: Iterable[str]) -> None:
+    """Raise AnswerBroken if the name of the transfer coding is corrupted.
+
+    The values are those of a head that states neither a length nor a coding.
+    The framing of the chunks would be delivered as a part of the body.
+    """
+    if any(_is_chunked(value) for value in values):
+        raise errors.AnswerBroken(
+            '"chunked" is the value of a header that is not Transfer-Encoding'
+        )
+
+
 def shorten(text: str | bytes) -> str:
     """Return the start of a part of a response, quoted for an error."""
     return repr(text[:MAX_SHOWN_LENGTH])
@@ -122,14 +134,18 @@
         raise errors.AnswerBroken(
             'the answer states both a length and a transfer coding'
         )
-    coding = ', '.join(codings).strip(_BLANKS)
-    if coding.lower() != 'chunked':
+    coding = ', '.join(codings)
+    if not _is_chunked(coding):
         raise errors.AnswerBroken(
             f'Transfer-Encoding: {shorten(coding)} is not supported'
         )
     return Chunked()
 
 
+def _is_chunked(value: str) -> bool:
+    return value.strip(_BLANKS).lower() == 'chunked'
+
+
 def _check_status_line(content: bytes) -> None:
     if not _STATUS_LINE.fullmatch(content):
         raise errors.AnswerBroken(f'{shorten(content)} is no status line')
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -28,40 +28,23 @@
     b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x',
     b'Content-Length: 4\r\nTransfer-Encoding: chunked',
 )
-VALID_LENGTHS = (
-    b'Content-Length: x',
-    b'Content-Length: 4x',
-    b'Content-Length: -4',
-    b'Content-Length: +4',
-    b'Content-Length: 0x4',
-    b'Content-Length: 1_0',
-    b'Content-Length: 4 4',
-    b'Content-Length: 4;4',
-    b'Content-Length: 4.0',
-    b'Content-Length:',
-    b'Content-Length: ' + b'9' * 5_000,
-    b'Content-Length: 4\r\nContent-Length: x',
-    b'Content-Length: 4\r\nContent-Length: 5',
-    b'Content-Length: 4\r\nTransfer-Encoding: chunked',
-    b'Transfer-Encoding: chunke',
-    b'Transfer-Encoding: chunked, chunked',
-    b'Transfer-Encoding: gzip',
-    b'Transfer-Encoding: gzip, chunked',
-    b'Transfer-Encoding:',
-    b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x',
-)
 VALID_LENGTHS = (
     b'Content-Length: 4',
     b'Content-Length: \t 004 \t',
     b'content-length:4',
     b'Content-Length: 4\r\nContent-Length: 4',
 )
+# The name is corrupted to another valid one.
+MISSPELT_CODINGS = (
+    b'Xransfer-Encoding: chunked',
+    b'Transfer_Encoding: chunked',
+    b'Transfer-Encodin: chunked',
+    b'T.ansfer-Encoding:\tChunked ',
+)
 VALID_CODINGS = (
     b'Transfer-Encoding: chunked',
     b'transfer-encoding:\tChunked ',
 )
-
-
 # Lines of a head that are no fields.
 MALFORMED_LINES = (
     b'no field',
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -74,6 +74,12 @@
                 broken_answers.answer(field, body=broken_answers.CHUNKED_BODY)
             )
 
+    def test_misspelt_transfer_coding_is_refused(self):
+        for field in broken_answers.MISSPELT_CODINGS:
+            self.assert_refused(
+                broken_answers.answer(field, body=broken_answers.CHUNKED_BODY)
+            )
+
     def test_valid_length_is_read(self):
         for field in broken_answers.VALID_LENGTHS:
             self.assert_delivered(broken_answers.answer(field), 200, b'body')
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -49,6 +49,14 @@
             ]
         )
 
+    def test_answers_with_misspelt_transfer_coding_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(field, body=broken_answers.CHUNKED_BODY)
+                for field in broken_answers.MISSPELT_CODINGS
+            ]
+        )
+
     def test_answers_with_malformed_lines_are_refused(self):
         self.assert_refused(
             [
