Send refusals without waiting for other clients

What callers saw: after two of three hosts were lost, the third refused what it had no thread for, and the refusals came after the route's timeout, or not at all.

Cause: one thread sent the refusals one after the other. After each it waited for the client to close, up to 0.1 s of silence or 0.2 s in all, as closing a socket with unread data resets it and may take the response from the client. So clients that close late set the rate of refusals for everybody, about ten a second. 256 connections waited in its queue; the others were closed without an answer.

Change: who decides to refuse sends the response itself, without blocking, and hands the socket to a task that waits for all such clients in one poll. What the request held is released before.

The test of a machine that has no room for the thread expected that the connection is closed without an answer; now it expects the refusal as well.

--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -179,7 +179,7 @@
                 'requests', MAX_THREADS, MAX_QUEUED_REQUESTS
             )
         )
-        self._refusals = refusals.RefusalTask((('Retry-After', '0.5'),))
+        self._refusals = refusals.Refuser((('Retry-After', '0.5'),))
         super().prepare()
 
     def must_close_connections(self) -> bool:
--- a/src/cardamomdeal/gateway/server.py
+++ b/src/cardamomdeal/gateway/server.py
@@ -118,7 +118,7 @@
     def prepare(self) -> None:
         """Listen and start the threads."""
         super().prepare()
-        self._refusals = refusals.RefusalTask(
+        self._refusals = refusals.Refuser(
             (
                 (caller.OUTCOME_HEADER, outcomes.Outcome.NOT_RUN.value),
                 ('Retry-After', '1'),
--- a/src/cardamomdeal/internal/refusals.py
+++ b/src/cardamomdeal/internal/refusals.py
@@ -1,80 +1,41 @@
-"""Task that responds 503 on connections for which no thread is free."""
-
-import contextlib
-import logging
-import queue
-import socket
-import threading
+"""Responses 503 on connections for which no thread is free."""
 
 from cheroot import server as cheroot_server
 
-from cardamomdeal.internal import http_server
+from cardamomdeal.internal import clock
+from cardamomdeal.internal import closing_connection
+from cardamomdeal.internal import closing_task
 
-MAX_QUEUED_CONNECTIONS = 256
-SOCKET_TIMEOUT_S = 0.1
-STOP_TIMEOUT_S = 1.0
-# The other connections wait for one whose client goes on sending.
-MAX_DISCARD_MS = 200
-READ_SIZE_BYTES = 64 * 1024
 RESPONSE_BODY = b'no thread is free; the request was not run\n'
 
-log = logging.getLogger(__name__)
-
 
-class RefusalTask(threading.Thread):
-    """Task that owns the refused connections until they are closed."""
+class Refuser:
+    """Sends refusals at once, and closes their connections behind them."""
 
     def __init__(self, headers: tuple[tuple[str, str], ...]) -> None:
-        super().__init__(name='refusals', daemon=True)
         self._response = _build_response(headers)
-        self._queue: queue.Queue[cheroot_server.HTTPConnection | None] = (
-            queue.Queue(MAX_QUEUED_CONNECTIONS)
-        )
-        self._start_lock = threading.Lock()
+        self._time = clock.Clock()
+        self._closing = closing_task.ClosingTask()
 
     def refuse(self, connection: cheroot_server.HTTPConnection) -> None:
         """Take ownership of a connection and refuse its request."""
-        try:
-            self._ensure_started()
-            self._queue.put_nowait(connection)
-        except (RuntimeError, queue.Full) as error:
-            # The machine may have no room for a thread now, and later on.
-            log.warning(
-                'connection closed without a refusal',
-                extra={'reason': repr(error)},
+        step: closing_connection.Step
+        if getattr(connection, 'has_received', False):
+            step = closing_connection.Send(self._response)
+        else:
+            step = closing_connection.AwaitRequest(self._response)
+        # Its client may be slow, so memory is released before its socket is.
+        connection.linger = True
+        connection.close()
+        self._closing.take(
+            closing_connection.ClosingConnection(
+                connection.socket, step, self._time.now_ms()
             )
-            connection.close()
+        )
 
     def stop(self) -> None:
-        """Stop the task once it has refused the connections in its queue."""
-        self._queue.put(None)
-        if self.ident is not None:
-            self.join(STOP_TIMEOUT_S)
-
-    def _ensure_started(self) -> None:
-        # Most hosts never refuse a connection for want of a thread.
-        with self._start_lock:
-            if self.ident is None:
-                self.start()
-
-    def run(self) -> None:
-        """Refuse queued connections until `stop` is called."""
-        while (connection := self._queue.get()) is not None:
-            with contextlib.suppress(OSError):
-                self._send_response(connection)
-            connection.close()
-
-    def _send_response(
-        self, connection: cheroot_server.HTTPConnection
-    ) -> None:
-        client_socket: socket.socket = connection.socket
-        client_socket.settimeout(SOCKET_TIMEOUT_S)
-        # Closing a socket with unread data resets the connection, and the
-        # caller could lose the response saying that its request was not run.
-        if not getattr(connection, 'has_received', False):
-            client_socket.recv(READ_SIZE_BYTES)
-        client_socket.sendall(self._response)
-        http_server.discard_received(client_socket, MAX_DISCARD_MS)
+        """Wait until the connections of refused requests have been closed."""
+        self._closing.stop()
 
 
 def _build_response(headers: tuple[tuple[str, str], ...]) -> bytes:
--- a/tests/contract/test_polled_server.py
+++ b/tests/contract/test_polled_server.py
@@ -79,18 +79,20 @@
         self.assertEqual(0, self.server.budget.held_bytes)
         self.assertEqual(b'HTTP/1.1 200 OK', self.exchange(self.kept))
 
-    def test_thread_for_refusals_cannot_be_started(self):
-        self.server.refuse = refusals.RefusalTask(()).refuse
+    def test_thread_that_closes_connections_cannot_be_started(self):
+        self.server.refuse = refusals.Refuser(()).refuse
         error = RuntimeError("can't start new thread")
         with (
             mock.patch.object(
                 self.server.requests, 'put', side_effect=queue.Full
             ),
             mock.patch.object(threading.Thread, 'start', side_effect=error),
+            self.assertNoLogs(polled_server.log, 'ERROR'),
         ):
-            self.unlucky.sendall(REQUEST)
-            with self.assertNoLogs(polled_server.log, 'ERROR'):
-                self.assertEqual(b'', self.unlucky.recv(1))
+            self.assertEqual(
+                b'HTTP/1.1 503 Service Unavailable',
+                self.exchange(self.unlucky),
+            )
         self.check_closed()
 
     def test_exception_while_a_request_is_queued(self):
--- a/tests/contract/test_stopping_server.py
+++ b/tests/contract/test_stopping_server.py
@@ -22,7 +22,7 @@
     """Polled server that says that a request was not run."""
 
     def prepare(self):
-        self._refusals = refusals.RefusalTask(())
+        self._refusals = refusals.Refuser(())
         super().prepare()
 
     def refuse(self, conn):
