Hold no thread for a client that is slow to close

What callers saw: while clients that had their last response went on sending, requests of others waited for up to 2 s each time, or were refused.

After the last response on a connection, the thread that had served it read what the client still sent, for 0.1 s of silence or 2 s in all, and an entry host has 64 threads for its callers.

Evidence: the new test, eight such clients before a server with four threads.

Change: such connections are handed to the closing task of the server, which is the one that closes refused connections too. A response of which the rest was sent later needs no thread any more to be ended. The waiting code of the threads is gone.

--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -179,7 +179,9 @@
                 'requests', MAX_THREADS, MAX_QUEUED_REQUESTS
             )
         )
-        self._refusals = refusals.Refuser((('Retry-After', '0.5'),))
+        self._refuser = refusals.Refuser(
+            (('Retry-After', '0.5'),), self.closing
+        )
         super().prepare()
 
     def must_close_connections(self) -> bool:
@@ -200,12 +202,7 @@
 
     def refuse(self, conn: polled_connection.PolledConnection) -> None:
         """Respond that the request was not run, and close."""
-        self._refusals.refuse(conn)
-
-    def stop(self) -> None:
-        """Stop listening and wait for the requests in flight."""
-        super().stop()
-        self._refusals.stop()
+        self._refuser.refuse(conn)
 
 
 def build_server(
--- a/src/cardamomdeal/gateway/server.py
+++ b/src/cardamomdeal/gateway/server.py
@@ -14,6 +14,7 @@
 from cardamomdeal.gateway import caller
 from cardamomdeal.gateway import errors
 from cardamomdeal.gateway import forwarding
+from cardamomdeal.internal import closing_task
 from cardamomdeal.internal import http_server
 from cardamomdeal.internal import refusals
 from cardamomdeal.routing import outcomes
@@ -118,11 +119,13 @@
     def prepare(self) -> None:
         """Listen and start the threads."""
         super().prepare()
-        self._refusals = refusals.Refuser(
+        self._closing = closing_task.ClosingTask()
+        self._refuser = refusals.Refuser(
             (
                 (caller.OUTCOME_HEADER, outcomes.Outcome.NOT_RUN.value),
                 ('Retry-After', '1'),
-            )
+            ),
+            self._closing,
         )
 
     def process_conn(self, conn: cheroot_server.HTTPConnection) -> None:
@@ -130,12 +133,12 @@
         try:
             self.requests.put(conn)
         except queue.Full:
-            self._refusals.refuse(conn)
+            self._refuser.refuse(conn)
 
     def stop(self) -> None:
         """Stop listening and wait for the requests in flight."""
         super().stop()
-        self._refusals.stop()
+        self._closing.stop()
 
 
 def build_server(
--- a/src/cardamomdeal/internal/closing_task.py
+++ b/src/cardamomdeal/internal/closing_task.py
@@ -6,6 +6,8 @@
 import socket
 import threading
 
+from cheroot import server as cheroot_server
+
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import closing_connection
 
@@ -32,21 +34,34 @@
         self._lock = threading.Lock()
         self._thread: _Thread | None = None
 
-    def take(self, connection: closing_connection.ClosingConnection) -> None:
-        """Advance a connection at once, and own it until it is closed."""
-        connection.advance(self._time.now_ms())
-        if connection.step == closing_connection.Close():
-            connection.socket.close()
+    def end(
+        self,
+        connection: cheroot_server.HTTPConnection,
+        step: closing_connection.Step,
+    ) -> None:
+        """Own a connection from its last response on until it is closed.
+
+        The first step is taken at once. What its requests held is released.
+        """
+        # Its socket stays open.
+        connection.linger = True
+        connection.close()
+        closing = closing_connection.ClosingConnection(
+            connection.socket, step, self._time.now_ms()
+        )
+        closing.advance(self._time.now_ms())
+        if closing.step == closing_connection.Close():
+            closing.socket.close()
             return
         try:
-            self._hand_over(connection)
+            self._hand_over(closing)
         except (OSError, RuntimeError) as error:
             # The machine may have no room for a thread now, and later on.
             log.warning(
                 'connection closed without waiting for its client',
                 extra={'reason': repr(error)},
             )
-            connection.socket.close()
+            closing.socket.close()
 
     def stop(self) -> None:
         """Wait until the connections have been closed."""
--- a/src/cardamomdeal/internal/http_server.py
+++ b/src/cardamomdeal/internal/http_server.py
@@ -1,20 +1,13 @@
 """Requests and connections on top of the HTTP server library."""
 
 import select
-import socket
 from typing import Any
 
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
 from cardamomdeal.internal import chunked_body
-from cardamomdeal.internal import clock
 
-# After the last response, a connection is read until its client closes it, has
-# sent nothing for this long, or has sent for this long in all.
-DISCARD_TIMEOUT_S = 0.1
-MAX_DISCARD_MS = 2_000
-DISCARD_BYTES = 16 * 1024
 TOO_LARGE_STATUS = b'413'
 # WSGI does not tell them from the fields that state where a body ends.
 AMBIGUOUS_FIELDS = frozenset({b'Content_Length', b'Transfer_Encoding'})
@@ -140,27 +133,3 @@
         poller = select.poll()
         poller.register(self.socket, select.POLLIN)
         return bool(poller.poll(0))
-
-    def close_after_response(self) -> None:
-        """Close the connection when the client has received the response.
-
-        Closing a socket with unread data resets the connection, and the client
-        may lose a response that it has not read.
-        """
-        discard_received(self.socket, MAX_DISCARD_MS)
-        self.close()
-
-
-def discard_received(client_socket: socket.socket, max_ms: int) -> None:
-    """End a connection's responses and discard what is still received."""
-    time = clock.Clock()
-    end_ms = time.now_ms() + max_ms
-    received = bytearray(DISCARD_BYTES)
-    try:
-        client_socket.shutdown(socket.SHUT_WR)
-        client_socket.settimeout(DISCARD_TIMEOUT_S)
-        while client_socket.recv_into(received) and time.now_ms() < end_ms:
-            pass
-    except OSError:
-        # The client has left, or sends nothing more.
-        return
--- a/src/cardamomdeal/internal/polled_connection.py
+++ b/src/cardamomdeal/internal/polled_connection.py
@@ -34,6 +34,8 @@
 
     WAIT = 'wait'
     THREAD = 'thread'
+    # Its last response has been sent.
+    END = 'end'
     CLOSE = 'close'
 
 
@@ -182,7 +184,7 @@
             if self._unsent:
                 return Step.WAIT
             if self.closes_when_sent:
-                return Step.THREAD
+                return Step.END
         if self.has_request():
             return Step.THREAD
         return Step.CLOSE if self._intake.has_ended else Step.WAIT
--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -11,6 +11,8 @@
 
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
+from cardamomdeal.internal import closing_connection
+from cardamomdeal.internal import closing_task
 from cardamomdeal.internal import http_server
 from cardamomdeal.internal import memory_budget
 from cardamomdeal.internal import polled_connection
@@ -244,7 +246,7 @@
         if keep_open or connection.has_unsent:
             self._server.put_conn(connection)
         else:
-            connection.close_after_response()
+            self._server.end(connection)
 
 
 class PolledServer(wsgi.Server):
@@ -268,6 +270,7 @@
         self.budget = memory_budget.MemoryBudget(DEFAULT_MEMORY_BYTES)
         self.requests = _ConnectionWorkers(self, threads)
         self._stopping = threading.Event()
+        self.closing = closing_task.ClosingTask()
 
     def prepare(self) -> None:
         """Open the listening socket."""
@@ -333,6 +336,8 @@
         match step:
             case polled_connection.Step.WAIT:
                 self.put_conn(conn)
+            case polled_connection.Step.END:
+                self.end(conn)
             case polled_connection.Step.CLOSE:
                 conn.close()
             case polled_connection.Step.THREAD:
@@ -357,6 +362,10 @@
         conn.closes_when_sent = True
         self.take_step(conn, polled_connection.Step.THREAD)
 
+    def end(self, conn: polled_connection.PolledConnection) -> None:
+        """Close a connection behind its last response."""
+        self.closing.end(conn, closing_connection.Send(b''))
+
     def refuse(self, conn: polled_connection.PolledConnection) -> None:
         """Close a connection for which there is no thread."""
         conn.close()
@@ -377,3 +386,4 @@
         for connection in self._connections.take_unfinished():
             self.finish(connection)
         super().stop()
+        self.closing.stop()
--- a/src/cardamomdeal/internal/refusals.py
+++ b/src/cardamomdeal/internal/refusals.py
@@ -2,7 +2,6 @@
 
 from cheroot import server as cheroot_server
 
-from cardamomdeal.internal import clock
 from cardamomdeal.internal import closing_connection
 from cardamomdeal.internal import closing_task
 
@@ -10,12 +9,15 @@
 
 
 class Refuser:
-    """Sends refusals at once, and closes their connections behind them."""
+    """Sends a refusal at once and has its connection closed."""
 
-    def __init__(self, headers: tuple[tuple[str, str], ...]) -> None:
+    def __init__(
+        self,
+        headers: tuple[tuple[str, str], ...],
+        closing: closing_task.ClosingTask,
+    ) -> None:
         self._response = _build_response(headers)
-        self._time = clock.Clock()
-        self._closing = closing_task.ClosingTask()
+        self._closing = closing
 
     def refuse(self, connection: cheroot_server.HTTPConnection) -> None:
         """Take ownership of a connection and refuse its request."""
@@ -24,18 +26,7 @@
             step = closing_connection.Send(self._response)
         else:
             step = closing_connection.AwaitRequest(self._response)
-        # Its client may be slow, so memory is released before its socket is.
-        connection.linger = True
-        connection.close()
-        self._closing.take(
-            closing_connection.ClosingConnection(
-                connection.socket, step, self._time.now_ms()
-            )
-        )
-
-    def stop(self) -> None:
-        """Wait until the connections of refused requests have been closed."""
-        self._closing.stop()
+        self._closing.end(connection, step)
 
 
 def _build_response(headers: tuple[tuple[str, str], ...]) -> bytes:
--- a/tests/contract/test_polled_server.py
+++ b/tests/contract/test_polled_server.py
@@ -1,5 +1,6 @@
 """Polling of connections while the machine is in trouble."""
 
+import contextlib
 import errno
 import queue
 import socket
@@ -19,6 +20,11 @@
 
 LOOPBACK = '127.0.0.1'
 REQUEST = b'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n'
+LAST_REQUEST = (
+    b'GET / HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n'
+)
+MAX_THREADS = 4
+MAX_LATE_S = 0.5
 IDLE_TIMEOUT_S = 0.5
 CLOSE_TIMEOUT_S = 5
 CLOCK_STEP_S = 60
@@ -32,7 +38,9 @@
             address.Address(LOOPBACK, 0),
             self.serve,
             thread_pool.ElasticThreadPool(
-                thread_pool.PoolSettings('test', max_threads=4, max_queued=4)
+                thread_pool.PoolSettings(
+                    'test', max_threads=MAX_THREADS, max_queued=MAX_THREADS
+                )
             ),
             timeout=IDLE_TIMEOUT_S,
         )
@@ -80,7 +88,7 @@
         self.assertEqual(b'HTTP/1.1 200 OK', self.exchange(self.kept))
 
     def test_thread_that_closes_connections_cannot_be_started(self):
-        self.server.refuse = refusals.Refuser(()).refuse
+        self.server.refuse = refusals.Refuser((), self.server.closing).refuse
         error = RuntimeError("can't start new thread")
         with (
             mock.patch.object(
@@ -104,6 +112,35 @@
         self.check_closed()
 
 
+class SlowToCloseTest(PolledServerCase):
+    """Clients that are slow to close hold no threads.
+
+    A thread waited up to 2 s for each client that went on sending after its
+    last response, and requests of others waited or were refused meanwhile.
+    """
+
+    def test_others_are_served_while_clients_go_on_sending(self):
+        senders = [self.connect() for _ in range(2 * MAX_THREADS)]
+        for opened in senders:
+            opened.settimeout(MAX_LATE_S)
+            opened.sendall(LAST_REQUEST + b'x')
+        has_ended = threading.Event()
+        self.addCleanup(has_ended.set)
+
+        def send_on():
+            while not has_ended.wait(0.02):
+                for opened in senders:
+                    with contextlib.suppress(OSError):
+                        opened.sendall(b'x')
+
+        threading.Thread(target=send_on, daemon=True).start()
+        for opened in senders:
+            self.assertIn(b' 200 OK', opened.recv(65_536))
+        other = self.connect()
+        other.settimeout(MAX_LATE_S)
+        self.assertIn(b' 200 OK', self.exchange(other))
+
+
 class ClockStepTest(PolledServerCase):
     """Time limits of clients hold while the time of day is set back.
 
--- a/tests/contract/test_refusals.py
+++ b/tests/contract/test_refusals.py
@@ -128,7 +128,7 @@
     def test_thread_ends_when_idle_and_starts_again(self):
         with mock.patch.object(closing_task, 'IDLE_TIMEOUT_MS', 100):
             self.read_refusal(self.order())
-            closing = self.server._refusals._closing
+            closing = self.server.closing
             self.wait_until(
                 lambda: closing._thread and not closing._thread.is_alive()
             )
--- a/tests/contract/test_stopping_server.py
+++ b/tests/contract/test_stopping_server.py
@@ -22,11 +22,11 @@
     """Polled server that says that a request was not run."""
 
     def prepare(self):
-        self._refusals = refusals.Refuser(())
+        self._refuser = refusals.Refuser((), self.closing)
         super().prepare()
 
     def refuse(self, conn):
-        self._refusals.refuse(conn)
+        self._refuser.refuse(conn)
 
 
 class StoppingServerTest(unittest.TestCase):
