--- a/tests/contract/test_refusals.py
+++ b/tests/contract/test_refusals.py
@@ -8,6 +8,7 @@
 
 from cardamomdeal.entry import server
 from cardamomdeal.internal import closing_task
+from cardamomdeal.internal import refusals
 from tests.contract import test_caller_connections
 
 LOOKUP = test_caller_connections.head('/slow', 'Content-Length: 0')
@@ -98,6 +99,27 @@
         self.assertLess(waited_s[-1], MAX_LATE_S)
 
 
+class LogTest(RefusalsCase):
+    """A host tells that it refuses requests, and not once for each of them.
+
+    No line or metric told it apart from a host that nobody used.
+    """
+
+    def test_refusals_are_counted_in_a_few_lines(self):
+        with (
+            mock.patch.object(refusals, 'LOG_INTERVAL_MS', 200),
+            self.assertLogs(refusals.log, 'WARNING') as logs,
+        ):
+            for _ in range(20):
+                self.read_refusal(self.order())
+            time.sleep(0.4)
+            self.read_refusal(self.order())
+            self.wait_until(
+                lambda: sum(record.count for record in logs.records) == 21
+            )
+        self.assertEqual(1, logs.records[0].count)
+
+
 class ClosingTest(RefusalsCase):
     """Connections of refused requests are closed and leave nothing behind."""
 
