Watch the connection that starts the closing task at once

The thread waited for events before it looked at the connection that it had been started for, so that one was closed up to 5 s late, if nothing else was to be closed: its client had the response, and the host kept a socket. The new test fails on the commit before.

--- a/src/cardamomdeal/internal/closing_task.py
+++ b/src/cardamomdeal/internal/closing_task.py
@@ -161,7 +161,8 @@
             self._waker.send(WAKE)
 
     def _poll(self) -> None:
-        """Go on with the connections that are ready or were added."""
+        """Go on with the connections that were added or are ready."""
+        self._begin_added()
         timeout_ms = (
             CHECK_INTERVAL_MS if self._connections else IDLE_TIMEOUT_MS
         )
@@ -170,7 +171,6 @@
                 self._wakes.recv(WAKES_BYTES)
             else:
                 self._advance(key.data)
-        self._begin_added()
         self._expire()
 
     def _begin_added(self) -> None:
--- a/tests/contract/test_refusals.py
+++ b/tests/contract/test_refusals.py
@@ -123,8 +123,17 @@
 class ClosingTest(RefusalsCase):
     """Connections of refused requests are closed and leave nothing behind."""
 
-    def test_client_that_does_not_close_is_closed(self):
-        self.read_refusal(self.order())
+    def test_silent_client_is_closed_soon(self):
+        opened = self.order()
+        self.read_refusal(opened)
+        time.sleep(MAX_LATE_S)
+        # Only a socket that was closed resets the connection.
+        opened.sendall(b'x')
+        with self.assertRaises(ConnectionError):
+            for _ in range(10):
+                time.sleep(0.02)
+                opened.recv(1)
+                opened.sendall(b'x')
 
     def test_client_that_sends_its_body_late_gets_the_refusal(self):
         # The connection was not reset behind the refusal.
