Give the polled server of the tests a longer queue

The library's default holds five connections that were not accepted yet. A test opens eight at once, and in about half of the runs two of them were connected a second later only, by when the first had been closed as idle. The log of its polls showed this. 20 of 20 runs pass since; on the code without the closing task the test still fails, in 3 of 3.

--- a/tests/contract/test_polled_server.py
+++ b/tests/contract/test_polled_server.py
@@ -43,6 +43,8 @@
                 )
             ),
             timeout=IDLE_TIMEOUT_S,
+            # A full queue would delay clients by a second.
+            request_queue_size=4 * MAX_THREADS,
         )
         task = serving.ServerTask(self.server)
         task.start()
