Name the closing thread, and check the bound of closing connections

Read as a newcomer: a class called thread, two steps without their reason, and a test of the bound on closing connections that would have passed without it. The test now waits until as many as allowed are left. Code does what it did.

--- a/src/cardamomdeal/internal/closing_connection.py
+++ b/src/cardamomdeal/internal/closing_connection.py
@@ -10,7 +10,7 @@
 import selectors
 import socket
 
-# A client that has sent nothing for this long has nothing left to send.
+# A client that sends nothing for this long is taken to have nothing to send.
 MAX_SILENCE_MS = 100
 # A client that goes on sending, or does not read, is cut off.
 MAX_TOTAL_MS = 2_000
--- a/src/cardamomdeal/internal/closing_task.py
+++ b/src/cardamomdeal/internal/closing_task.py
@@ -32,7 +32,7 @@
     def __init__(self) -> None:
         self._time = clock.Clock()
         self._lock = threading.Lock()
-        self._thread: _Thread | None = None
+        self._thread: _ClosingThread | None = None
 
     def end(
         self,
@@ -75,12 +75,12 @@
     ) -> None:
         with self._lock:
             if self._thread is None or not self._thread.try_add(connection):
-                thread = _Thread(self._time, connection)
+                thread = _ClosingThread(self._time, connection)
                 thread.start()
                 self._thread = thread
 
 
-class _Thread(threading.Thread):
+class _ClosingThread(threading.Thread):
     """Thread that waits for all clients at the same time."""
 
     def __init__(
--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -364,6 +364,7 @@
 
     def end(self, conn: polled_connection.PolledConnection) -> None:
         """Close a connection behind its last response."""
+        # Nothing is left to be sent but the end of the connection.
         self.closing.end(conn, closing_connection.Send(b''))
 
     def refuse(self, conn: polled_connection.PolledConnection) -> None:
--- a/src/cardamomdeal/internal/refusals.py
+++ b/src/cardamomdeal/internal/refusals.py
@@ -34,6 +34,7 @@
     def refuse(self, connection: cheroot_server.HTTPConnection) -> None:
         """Take ownership of a connection and refuse its request."""
         step: closing_connection.Step
+        # Only polled connections have been read by now.
         if getattr(connection, 'has_received', False):
             step = closing_connection.Send(self._response)
         else:
--- a/tests/contract/test_refusals.py
+++ b/tests/contract/test_refusals.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from cardamomdeal.entry import server
+from cardamomdeal.internal import closing_connection
 from cardamomdeal.internal import closing_task
 from cardamomdeal.internal import refusals
 from tests.contract import test_caller_connections
@@ -151,10 +152,15 @@
         self.assertEqual(held_bytes, self.server.budget.held_bytes)
 
     def test_first_are_closed_if_there_are_too_many(self):
-        with mock.patch.object(closing_task, 'MAX_CONNECTIONS', 10):
-            clients = [self.order() for _ in range(50)]
-            for opened in clients:
-                self.read_refusal(opened)
+        with (
+            mock.patch.object(closing_task, 'MAX_CONNECTIONS', 10),
+            mock.patch.object(closing_connection, 'MAX_SILENCE_MS', 5_000),
+            mock.patch.object(closing_connection, 'MAX_TOTAL_MS', 5_000),
+        ):
+            for _ in range(50):
+                self.read_refusal(self.order())
+            connections = self.server.closing._thread._connections
+            self.wait_until(lambda: len(connections) == 10)
 
     def test_thread_ends_when_idle_and_starts_again(self):
         with mock.patch.object(closing_task, 'IDLE_TIMEOUT_MS', 100):
