Bound closing connections by what small hosts have descriptors for

The smallest hosts have 1,535 file descriptors. 1,024 connections that wait for their clients to close could leave too few of them to accept others. 256 are as many as waited for a refusal before, and enough for 2,500 silent clients a second. By reading; no such flood was played.

--- a/src/cardamomdeal/internal/closing_task.py
+++ b/src/cardamomdeal/internal/closing_task.py
@@ -11,8 +11,9 @@
 from cardamomdeal.internal import clock
 from cardamomdeal.internal import closing_connection
 
-# Above this the connection that was first is closed at once.
-MAX_CONNECTIONS = 1_024
+# Above this the connection that was first is closed at once: new connections
+# need file descriptors more.
+MAX_CONNECTIONS = 256
 CHECK_INTERVAL_MS = 20
 # The thread ends when it had no connection for this long.
 IDLE_TIMEOUT_MS = 5_000
