Show that hosts ignore changes after the store is restored

The stand-in of the store can now be restored from a copy: its revisions go back and are given out again, as the users' pages say, and each answer states the era.

--- a/devel/store_standin.py
+++ b/devel/store_standin.py
@@ -18,6 +18,7 @@
 from cardamomdeal.internal import http_json
 from cardamomdeal.internal import process
 from cardamomdeal.platform import key_value
+from cardamomdeal.platform import wire
 
 THREADS = 64
 MAX_VALUE_BYTES = 1024**2
@@ -43,6 +44,16 @@
     lease: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Content of the store at one moment, to restore it from."""
+
+    revision: int
+    values: dict[str, _StoredValue]
+    events: tuple[dict[str, Any], ...]
+    leases: dict[int, tuple[float, float]]
+
+
 class _SocketGateway(wsgi.Gateway_10):
     """WSGI gateway that passes the client's socket to the application."""
 
@@ -62,6 +73,7 @@
         self.write_responses_to_lose = 0
         self.calls: collections.Counter[str] = collections.Counter()
         self._changed = threading.Condition()
+        self._era = 1
         self._revision = 1
         self._values: dict[str, _StoredValue] = {}
         self._events: list[dict[str, Any]] = []
@@ -100,6 +112,26 @@
             self._events.clear()
             self._compacted_revision = self._revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content."""
+        with self._changed:
+            return StoreCopy(
+                self._revision,
+                dict(self._values),
+                tuple(self._events),
+                dict(self._leases),
+            )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; revisions after it are given out again."""
+        with self._changed:
+            self._era += 1
+            self._revision = copy.revision
+            self._values = dict(copy.values)
+            self._events = list(copy.events)
+            self._leases = dict(copy.leases)
+            self._changed.notify_all()
+
     def _application(
         self, environ: dict[str, Any], start_response: Any
     ) -> list[bytes]:
@@ -107,6 +139,11 @@
         if request.path.startswith(CONTROL_PATH):
             reply = self._control(request)
             return http_json.send_response(reply, start_response)
+
+        def start_with_era(status: str, headers: list[tuple[str, str]]) -> Any:
+            era = (wire.STORE_ERA, str(self._era))
+            return start_response(status, [*headers, era])
+
         name = request.path.removeprefix('/cardamomdeal/').partition('/')[0]
         self.calls[name] += 1
         time.sleep(self.slow_ms / 1_000)
@@ -122,7 +159,7 @@
                 return self._execute_without_response(environ, request)
             case StoreFault.NONE:
                 reply = self._execute(request)
-        return http_json.send_response(reply, start_response)
+        return http_json.send_response(reply, start_with_era)
 
     def _execute_without_response(
         self, environ: dict[str, Any], request: http_json.JsonRequest
@@ -211,7 +248,7 @@
     ) -> tuple[int, dict[str, Any]]:
         deadline_s = time.monotonic() + wait_s
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self._revision:
                 return 410, {}
             events = [
                 event
--- a/src/cardamomdeal/platform/wire.py
+++ b/src/cardamomdeal/platform/wire.py
@@ -10,6 +10,8 @@
 SERVER_ID = 'Cardamomdeal-Instance-Id'
 SERVER_LEAVING = 'Server-Leaving'
 RETRY_AFTER = 'Retry-After'
+# Counts how often the store has been restored from an older copy.
+STORE_ERA = 'Store-Era'
 
 # Name of the workspace on whose behalf a request runs.
 WORKSPACE = 'Cardamomdeal-Tenant'
