--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -468,6 +468,7 @@
         self._record_store_response(now_ms)
         if snapshot.revision < self._state.revision:
             # Other hosts sent newer changes while the items were read.
+            self._log_ignored(snapshot.revision)
             self._freshness.confirm(now_ms)
         else:
             self._replace_view(snapshot.items, snapshot.revision, now_ms)
@@ -495,6 +496,8 @@
                 extra={'known': known_revision, 'after': after_revision},
             )
             return
+        if changes.events and revision < known_revision:
+            self._log_ignored(revision)
         has_new_changes = self._apply_changes(changes.events, revision)
         self._freshness.confirm(now_ms)
         self._proofs.record_store_answer(changes.asked_at_ms)
@@ -506,6 +509,12 @@
             ):
                 self._send_to_peers(message)
 
+    def _log_ignored(self, revision: int) -> None:
+        log.info(
+            'store answer ignored: the view is newer',
+            extra={'revision': revision, 'known': self._state.revision},
+        )
+
     def _apply_changes(
         self, events: tuple[store.Event, ...], revision: int
     ) -> bool:
