Order what hosts read by the store's era before its revision

Callers were routed by an older configuration, and servers that had said they were leaving got requests, at all hosts of a fleet at once.

Cause: a store that is restored from an older copy gives its revisions out again. Hosts kept the largest revision that they had seen, so they took all that was written after the restore for old, and what had the revision of a lost write for known. They counted their view as confirmed all the same.

Evidence: with a store that loses 200 writes, a real host logged "store answer ignored: the view is newer" with revision 7 against 207, and did not serve a route added after the restore within 5 s.

Change: the store states its era in each answer. The client packs it into each revision, above the number, so that every comparison in the fleet, and every message between hosts, orders by the era first. A watch from another era fails like one from a compacted revision. An era that is missing, invalid or earlier than the last fails the call and is named. What the copy lacks stays for the grace period in which it is written again.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -7,6 +7,7 @@
 
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import registry
+from cardamomdeal.fleet import revisions
 from cardamomdeal.fleet import routes
 from cardamomdeal.platform import configuration
 from cardamomdeal.platform import entries
@@ -93,6 +94,10 @@
         self, items: tuple[store.Item, ...], revision: int, now_ms: int
     ) -> None:
         """Replace the state by a complete read of the store."""
+        if not self.is_empty and revisions.is_restored(
+            self.revision, revision
+        ):
+            self._start_era(revision, now_ms)
         self.revision = max(self.revision, revision)
         keys = {item.key for item in items}
         for prefix, entry_registry in (
@@ -107,6 +112,22 @@
         for item in items:
             self.apply(item, now_ms)
 
+    def _start_era(self, revision: int, now_ms: int) -> None:
+        """Prepare for the content of a store that has been restored.
+
+        Owners write again what was written since the copy was made.
+        """
+        log.warning(
+            'store restored from an older copy',
+            extra={
+                'era': revisions.era(revision),
+                'era_before': revisions.era(self.revision),
+                'revision': revisions.number(revision),
+                'revision_before': revisions.number(self.revision),
+            },
+        )
+        self.start_grace_period(now_ms)
+
     def apply(self, event: store.Event, now_ms: int) -> None:
         """Apply one change of the store; ignore one that cannot be applied.
 
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -13,6 +13,7 @@
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import peers
 from cardamomdeal.fleet import recent_changes
+from cardamomdeal.fleet import revisions
 from cardamomdeal.fleet import store_readers
 from cardamomdeal.fleet import view_transfer
 from cardamomdeal.internal import actor
@@ -469,6 +470,8 @@
         if snapshot.revision < self._state.revision:
             # Other hosts sent newer changes while the items were read.
             self._log_ignored(snapshot.revision)
+            if revisions.is_restored(snapshot.revision, self._state.revision):
+                return
             self._freshness.confirm(now_ms)
         else:
             self._replace_view(snapshot.items, snapshot.revision, now_ms)
@@ -498,6 +501,8 @@
             return
         if changes.events and revision < known_revision:
             self._log_ignored(revision)
+        if revisions.is_restored(revision, known_revision):
+            return
         has_new_changes = self._apply_changes(changes.events, revision)
         self._freshness.confirm(now_ms)
         self._proofs.record_store_answer(changes.asked_at_ms)
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -109,8 +109,11 @@
                 self._failure_count = 0
                 self._revision = update.revision
                 self._synchronizer.tell(update)
-            case Failure(errors.RevisionCompacted()):
-                log.info('store revision compacted; reading all keys again')
+            case Failure(errors.RevisionCompacted() as error):
+                log.info(
+                    'store revision compacted; reading all keys again',
+                    extra={'reason': str(error)},
+                )
                 self._revision = None
             case Failure(error):
                 self._synchronizer.tell(messages.StoreFailed(str(error)))
--- a/src/cardamomdeal/platform/errors.py
+++ b/src/cardamomdeal/platform/errors.py
@@ -25,3 +25,11 @@
 
 class RevisionCompacted(PlatformError):
     """The store no longer has the history since the watched revision."""
+
+
+class StoreRestored(RevisionCompacted):
+    """The watched revision dates from before the store was restored."""
+
+
+class InvalidEra(PlatformError):
+    """The era that the store states is missing, invalid or an earlier one."""
--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+from typing import Annotated
 from typing import Any
 from urllib import parse
 
@@ -11,9 +12,11 @@
 from returns.result import Success
 import urllib3
 
+from cardamomdeal.fleet import revisions
 from cardamomdeal.internal import address
 from cardamomdeal.internal import units
 from cardamomdeal.platform import errors
+from cardamomdeal.platform import wire
 
 ABSENT_REVISION = 0
 NO_LEASE = 0
@@ -66,6 +69,23 @@
 
     lease_id: int
     duration_ms: int
+    # Era of the store that granted or renewed it; IDs are given out again.
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """Body of a successful call, and the store's era."""
+
+    body: bytes
+    era: int
+
+    def revision(self, number: int) -> int:
+        """Return a revision that the body states by its number."""
+        return revisions.pack(self.era, number)
+
+
+_RevisionNumber = Annotated[int, pydantic.Field(ge=0, le=revisions.MAX_NUMBER)]
 
 
 class _Reply(pydantic.BaseModel):
@@ -76,28 +96,28 @@
 class _ItemModel(_Reply):
     key: str
     value: pydantic.Base64Bytes = b''
-    revision: int
+    revision: _RevisionNumber
     # Present only in events that report a removed key.
     removed: bool = False
 
 
 class _ItemReply(_ItemModel):
-    store_revision: int = 0
+    store_revision: _RevisionNumber = 0
 
 
 class _RangeReply(_Reply):
     items: list[_ItemModel]
     has_more: bool
-    store_revision: int
+    store_revision: _RevisionNumber
 
 
 class _WatchReply(_Reply):
     events: list[_ItemModel]
-    store_revision: int
+    store_revision: _RevisionNumber
 
 
 class _TransactionReply(_Reply):
-    revision: int
+    revision: _RevisionNumber
 
 
 class _LeaseReply(_Reply):
@@ -112,6 +132,8 @@
         self, server_address: address.Address, timeout_ms: int
     ) -> None:
         self.calls = 0
+        # Newest era that an answer stated; None before the first answer.
+        self._era: int | None = None
         self._timeout_ms = timeout_ms
         self._server_address = server_address
         self._pool = _connect(server_address)
@@ -127,8 +149,10 @@
     def get(self, key: str) -> Result[Item, errors.PlatformError]:
         """Read a key; NotFound when it does not exist."""
         response = self._call('GET', 'kv-key', {'key': key})
-        return response.bind(lambda data: _parse(_ItemReply, data)).map(
-            _to_item
+        return response.bind(
+            lambda answer: _parse(_ItemReply, answer).map(
+                lambda item: _to_item(item, answer)
+            )
         )
 
     def range(
@@ -144,17 +168,26 @@
                 query['after'] = after
             if stale:
                 query['allow_stale'] = 1
-            response = self._call('GET', 'kv-range', query)
-            match response.bind(lambda data: _parse(_RangeReply, data)):
+            match self._call('GET', 'kv-range', query):
+                case Success(answer):
+                    pass
+                case failed:
+                    return failed
+            match _parse(_RangeReply, answer):
                 case Success(page):
                     pass
                 case failed:
                     return failed
-            items.extend(_to_item(item) for item in page.items)
+            items.extend(_to_item(item, answer) for item in page.items)
+            revision = answer.revision(page.store_revision)
             if first_revision is None:
                 # The pages are not a consistent snapshot. A watch from the
                 # first page's revision reports all changes made since then.
-                first_revision = page.store_revision
+                first_revision = revision
+            elif revisions.is_restored(first_revision, revision):
+                return Failure(
+                    errors.StoreRestored('restored between two pages')
+                )
             if not page.has_more or not page.items:
                 return Success(Range(tuple(items), first_revision))
             after = page.items[-1].key
@@ -170,14 +203,15 @@
         response = self._call(
             'GET',
             'kv-watch',
-            {'prefix': prefix, 'after': after_revision, 'wait_ms': wait_ms},
+            {
+                'prefix': prefix,
+                'after': revisions.number(after_revision),
+                'wait_ms': wait_ms,
+            },
             timeout_ms=wait_ms + margin_ms,
         )
-        return response.bind(lambda data: _parse(_WatchReply, data)).map(
-            lambda reply: Changes(
-                tuple(_to_event(event) for event in reply.events),
-                reply.store_revision,
-            )
+        return response.bind(
+            lambda answer: _read_changes(answer, after_revision)
         )
 
     def write(
@@ -198,10 +232,17 @@
             ]
         }
         if expected_revision is not None:
+            if self._is_outdated(expected_revision):
+                return Failure(errors.RevisionConflict('store was restored'))
             body['expected_revision'] = [
-                {'key': key, 'revision': expected_revision}
+                {
+                    'key': key,
+                    'revision': revisions.number(expected_revision),
+                }
             ]
-        return self._transact(body)
+        return self._transact(body).bind(
+            lambda revision: _check_condition(expected_revision, revision)
+        )
 
     def delete(self, key: str) -> Result[int, errors.PlatformError]:
         """Remove a key."""
@@ -214,15 +255,19 @@
         response = self._call(
             'POST', 'kv-lease', body={'ttl_time': f'{duration_ms}ms'}
         )
-        return response.bind(lambda data: _parse(_LeaseReply, data)).map(
-            lambda reply: Lease(reply.lease, reply.ttl_time)
+        return response.bind(
+            lambda answer: _parse(_LeaseReply, answer).map(
+                lambda reply: Lease(reply.lease, reply.ttl_time, answer.era)
+            )
         )
 
     def renew_lease(self, lease: Lease) -> Result[Lease, errors.PlatformError]:
         """Renew a lease; NotFound when it has expired."""
         response = self._call('POST', f'kv-keep/{lease.lease_id}')
-        return response.bind(lambda data: _parse(_LeaseReply, data)).map(
-            lambda reply: Lease(lease.lease_id, reply.ttl_time)
+        return response.bind(
+            lambda answer: _parse(_LeaseReply, answer).map(
+                lambda reply: Lease(lease.lease_id, reply.ttl_time, answer.era)
+            )
         )
 
     def revoke_lease(self, lease: Lease) -> Result[None, errors.PlatformError]:
@@ -239,8 +284,18 @@
         self, body: dict[str, Any]
     ) -> Result[int, errors.PlatformError]:
         response = self._call('POST', 'kv-txn', body=body)
-        return response.bind(lambda data: _parse(_TransactionReply, data)).map(
-            lambda reply: reply.revision
+        return response.bind(
+            lambda answer: _parse(_TransactionReply, answer).map(
+                lambda reply: answer.revision(reply.revision)
+            )
+        )
+
+    def _is_outdated(self, revision: int) -> bool:
+        """Return whether a revision is known to be from before a restore."""
+        return (
+            revision != ABSENT_REVISION
+            and self._era is not None
+            and revisions.era(revision) < self._era
         )
 
     def _call(
@@ -250,7 +305,7 @@
         query: dict[str, Any] | None = None,
         body: dict[str, Any] | None = None,
         timeout_ms: int | None = None,
-    ) -> Result[bytes, errors.PlatformError]:
+    ) -> Result[_Answer, errors.PlatformError]:
         self.calls += 1
         target = _PATH_PREFIX + name
         if query:
@@ -265,7 +320,26 @@
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             # urllib3 raises ValueError for a chunk of negative size.
             return Failure(errors.PlatformUnavailable(str(error)))
-        return _result_for_status(name, response)
+        return _result_for_status(name, response).bind(
+            lambda body: self._record_era(
+                response.headers.get(wire.STORE_ERA)
+            ).map(lambda era: _Answer(body, era))
+        )
+
+    def _record_era(
+        self, stated: str | None
+    ) -> Result[int, errors.PlatformError]:
+        """Return the era of an answer; fail if it cannot be trusted."""
+        known = self._era or 0
+        era = 0 if stated is None else _read_era(stated)
+        if era is None or era < known:
+            return Failure(
+                errors.InvalidEra(
+                    f'{wire.STORE_ERA} is {stated!r}, the last one was {known}'
+                )
+            )
+        self._era = era
+        return Success(era)
 
 
 def _connect(server_address: address.Address) -> urllib3.HTTPConnectionPool:
@@ -298,18 +372,60 @@
             return Failure(errors.PlatformError(f'{name}: status {status}'))
 
 
-def _parse(schema: type[Any], data: bytes) -> Result[Any, Any]:
+def _read_era(stated: str) -> int | None:
+    if not (stated.isascii() and stated.isdecimal()):
+        return None
+    digits = stated.lstrip('0')
+    if len(digits) > len(str(revisions.MAX_ERA)):
+        return None
+    era = int(digits or '0')
+    return era if era <= revisions.MAX_ERA else None
+
+
+def _check_condition(
+    expected_revision: int | None, revision: int
+) -> Result[int, errors.PlatformError]:
+    """Fail if the condition was met by a revision that was given out again."""
+    if expected_revision and revisions.is_restored(
+        expected_revision, revision
+    ):
+        return Failure(errors.RevisionConflict('store was restored'))
+    return Success(revision)
+
+
+def _read_changes(
+    answer: _Answer, after_revision: int
+) -> Result[Changes, errors.PlatformError]:
+    known_era = revisions.era(after_revision)
+    if answer.era > known_era:
+        # Its changes follow a revision that was given out again.
+        return Failure(
+            errors.StoreRestored(f'era {answer.era} after {known_era}')
+        )
+    if answer.era < known_era:
+        return Failure(
+            errors.InvalidEra(f'era {answer.era} after {known_era}')
+        )
+    return _parse(_WatchReply, answer).map(
+        lambda reply: Changes(
+            tuple(_to_event(event, answer) for event in reply.events),
+            answer.revision(reply.store_revision),
+        )
+    )
+
+
+def _parse(schema: type[Any], answer: _Answer) -> Result[Any, Any]:
     try:
-        return Success(schema.model_validate_json(data))
+        return Success(schema.model_validate_json(answer.body))
     except ValueError as error:
         return Failure(errors.PlatformError(f'unexpected answer: {error}'))
 
 
-def _to_item(parsed: _ItemModel) -> Item:
-    return Item(parsed.key, parsed.value, parsed.revision)
+def _to_item(parsed: _ItemModel, answer: _Answer) -> Item:
+    return Item(parsed.key, parsed.value, answer.revision(parsed.revision))
 
 
-def _to_event(parsed: _ItemModel) -> Event:
+def _to_event(parsed: _ItemModel, answer: _Answer) -> Event:
     if parsed.removed:
-        return Removal(parsed.key, parsed.revision)
-    return _to_item(parsed)
+        return Removal(parsed.key, answer.revision(parsed.revision))
+    return _to_item(parsed, answer)
--- a/tests/contract/test_store_client.py
+++ b/tests/contract/test_store_client.py
@@ -5,9 +5,11 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cardamomdeal.fleet import revisions
 from cardamomdeal.internal import address
 from cardamomdeal.platform import errors
 from cardamomdeal.platform import store
+from cardamomdeal.platform import wire
 from devel import fleet
 from devel import store_standin
 from tests import broken_answers
@@ -88,6 +90,106 @@
                 self.assertIsInstance(result.failure(), expected)
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The store is restored from a copy and gives revisions out again.
+
+    A watch from such a revision returned later changes as if none were
+    missing, and a smaller revision counted as older.
+    """
+
+    def setUp(self):
+        port = fleet.free_port()
+        self.standin = store_standin.StoreStandin('127.0.0.1', port)
+        self.addCleanup(self.standin.stop)
+        self.client = store.StoreClient(
+            address.Address('127.0.0.1', port), TIMEOUT_MS
+        )
+        self.addCleanup(self.client.close)
+
+    def put(self, *keys):
+        for key in keys:
+            self.standin.put(key, b'x')
+
+    def test_revisions_rise_although_the_numbers_go_back(self):
+        copy = self.standin.copy()
+        self.put('a', 'b')
+        before = self.client.range('').unwrap()
+        self.standin.restore(copy)
+        after = self.client.range('').unwrap()
+        self.assertGreater(after.revision, before.revision)
+        self.assertLess(
+            revisions.number(after.revision),
+            revisions.number(before.revision),
+        )
+
+    def test_watch_from_before_the_restore_fails(self):
+        copy = self.standin.copy()
+        self.put('lost')
+        read = self.client.range('').unwrap()
+        for keys in ((), ('a', 'b', 'c')):
+            # With the keys, the watched revision exists again.
+            with self.subTest(keys=keys):
+                self.standin.restore(copy)
+                self.put(*keys)
+                changes = self.client.watch('', read.revision, 50)
+                self.assertIsInstance(
+                    changes.failure(), errors.RevisionCompacted
+                )
+
+    def test_write_expects_a_revision_that_was_given_out_again(self):
+        copy = self.standin.copy()
+        revision = self.client.write('k', b'lost').unwrap()
+        self.standin.restore(copy)
+        self.put('k')
+        written = self.client.write('k', b'y', revision)
+        self.assertIsInstance(written.failure(), errors.RevisionConflict)
+        # Now the client knows of the restore before it writes.
+        calls = self.client.calls
+        written = self.client.write('k', b'z', revision)
+        self.assertIsInstance(written.failure(), errors.RevisionConflict)
+        self.assertEqual(calls, self.client.calls)
+
+
+class ErasTest(unittest.TestCase):
+    """What an answer says of its era is not trusted blindly."""
+
+    def read_all(self, *eras):
+        """Read once for each era, which may be missing."""
+        answers = []
+        for era in eras:
+            fields = [b'Content-Length: %d' % len(RANGE)]
+            if era is not None:
+                fields.append(wire.STORE_ERA.encode() + b': ' + era)
+            answers.append(
+                broken_answers.answer(b'\r\n'.join(fields), body=RANGE)
+            )
+        server = scripted_server.ScriptedServer(answers)
+        self.addCleanup(server.close)
+        client = store.StoreClient(server.address, TIMEOUT_MS)
+        self.addCleanup(client.close)
+        return [client.range('') for _ in eras]
+
+    def test_store_without_eras(self):
+        first, second = self.read_all(None, None)
+        self.assertEqual(7, first.unwrap().revision)
+        self.assertEqual(7, second.unwrap().revision)
+
+    def test_invalid_era_is_named_and_not_used(self):
+        for era in (b'', b'x', b'-1', b'1.5', b'1e3', b'9' * 5_000, b'32768'):
+            with self.subTest(era=era[:20]):
+                invalid, valid = self.read_all(era, b'2')
+                self.assertIsInstance(invalid.failure(), errors.InvalidEra)
+                self.assertIn(wire.STORE_ERA, str(invalid.failure()))
+                self.assertEqual(2, revisions.era(valid.unwrap().revision))
+
+    def test_era_that_is_missing_or_goes_back_is_not_used(self):
+        for era in (None, b'2'):
+            with self.subTest(era=era):
+                _, earlier, same = self.read_all(b'3', era, b'3')
+                self.assertIsInstance(earlier.failure(), errors.InvalidEra)
+                self.assertEqual(3, revisions.era(same.unwrap().revision))
+
+
 class BrokenAnswersTest(unittest.TestCase):
     """The store's answers are malformed.
 
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -22,6 +22,8 @@
 from cardamomdeal.entry import messages
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import recent_changes
+from cardamomdeal.fleet import registry
+from cardamomdeal.fleet import revisions
 from cardamomdeal.fleet import store_readers
 from cardamomdeal.internal import address
 from cardamomdeal.internal import clock
@@ -108,6 +110,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 0
         self.items: dict[str, store.Item] = {}
         self.history: list[store.Event] = []
         # Complete reads and watches that ended.
@@ -127,6 +130,25 @@
         self.items.pop(key, None)
         self.history.append(store.Removal(key, self.revision))
 
+    def copy(self) -> tuple[int, dict[str, store.Item]]:
+        """Return a copy of the content, with its revision's number."""
+        return revisions.number(self.revision), dict(self.items)
+
+    def restore(self, copy: tuple[int, dict[str, store.Item]]) -> None:
+        """Go back to a copy, in a new era."""
+        number, items = copy
+        self.era += 1
+        self.revision = revisions.pack(self.era, number)
+        self.items = {
+            key: store.Item(
+                key,
+                item.value,
+                revisions.pack(self.era, revisions.number(item.revision)),
+            )
+            for key, item in items.items()
+        }
+        self.history.clear()
+
 
 class Network:
     """Delivers datagrams between hosts with limited links."""
@@ -298,7 +320,9 @@
         self._fleet.store.readers.add(self.entry.name)
         self._fleet.store.calls += 1
         current = self._fleet.store
-        if self._revision is None:
+        if self._revision is None or revisions.is_restored(
+            self._revision, current.revision
+        ):
             update: Any = messages.StoreSnapshot(
                 tuple(current.items.values()),
                 current.revision,
@@ -514,6 +538,52 @@
         self.assertEqual(fleet.hosts[0].servers, cut_host.servers)
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The store is restored while it turns some hosts away.
+
+    These hear of the new content from their peers alone.
+    """
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(60, 6, 60)
+        self.copy = self.fleet.store.copy()
+        self.fleet.change_configuration()
+        for number in range(recent_changes.MAX_CHANGES):
+            self.fleet.store.put(f'servers/i-{200 + number}', _server(number))
+        self.fleet.events.run(SETTLING_MS)
+        self.cut_hosts = self.fleet.hosts[2::3]
+        self.fleet.turn_away(self.cut_hosts)
+        self.fleet.events.run(SETTLING_MS)
+
+    def restore_and_change(self) -> None:
+        self.fleet.store.restore(self.copy)
+        self.fleet.change_configuration()
+        self.fleet.events.run(IN_FORCE_MS)
+
+    def test_change_after_the_restore_is_in_force(self) -> None:
+        self.restore_and_change()
+        self.assertEqual([], self.fleet.late_hosts(self.fleet.version))
+
+    def test_servers_of_the_copy_alone_are_in_use(self) -> None:
+        self.restore_and_change()
+        self.fleet.events.run(registry.EXPIRY_GRACE_MS + 300)
+        expected = {f'i-{number}' for number in range(145)}
+        for host in self.fleet.hosts:
+            self.assertEqual(expected, host.servers)
+
+    def test_two_restores_while_a_host_is_cut_off(self) -> None:
+        cut_host = self.cut_hosts[0]
+        del self.fleet.network.hosts[cut_host.entry.peers]
+        self.restore_and_change()
+        self.fleet.store.restore(self.copy)
+        self.fleet.change_configuration()
+        self.fleet.events.run(IN_FORCE_MS)
+        self.fleet.network.hosts[cut_host.entry.peers] = cut_host
+        self.fleet.changed_at_ms = self.fleet.events.clock.now_ms()
+        self.fleet.events.run(IN_FORCE_MS)
+        self.assertEqual([], self.fleet.late_hosts(self.fleet.version))
+
+
 class CompleteReadsTest(unittest.TestCase):
     """A complete read must not bring back what has changed since it began.
 
