Hold back servers that left before the store was restored

A server that had said it was leaving, or was gone, got requests again once the store had come back from a copy that still held it as ready.

Cause: hosts replace their view by the copy. What they had learned of the server since the copy was made went with the lost revisions.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -5,6 +5,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from cardamomdeal.fleet import departures
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import registry
 from cardamomdeal.fleet import revisions
@@ -14,13 +15,15 @@
 from cardamomdeal.platform import store
 from cardamomdeal.platform import wire
 
+DEFAULT_HEARTBEAT_MS = 1_500
+
 log = logging.getLogger(__name__)
 
 
 class FleetState:
     """Configuration, backend servers and entry hosts of the fleet."""
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_ms: int = DEFAULT_HEARTBEAT_MS) -> None:
         self.revision = 0
         # Of the configuration in force.
         self._routes: routes.RouteTable | None = None
@@ -33,6 +36,7 @@
             registry.Registry()
         )
         self._hosts: registry.Registry[model.EntryHost] = registry.Registry()
+        self._departures = departures.Departures(heartbeat_ms)
         self._removed_hosts: set[str] = set()
         self._items: dict[str, store.Item] = {}
 
@@ -57,8 +61,15 @@
         return self._routes is not None and self._routes.has_quotas
 
     def items(self) -> tuple[store.Item, ...]:
-        """Return the store items as received, for sending to other hosts."""
-        return tuple(self._items.values())
+        """Return the store items as received, for sending to other hosts.
+
+        Those of servers that are held back would bring them into use there.
+        """
+        return tuple(
+            item
+            for key, item in self._items.items()
+            if not self._departures.is_held(_server_id(key))
+        )
 
     def servers(self) -> tuple[model.BackendServer, ...]:
         """Return the backend servers that are present."""
@@ -85,10 +96,24 @@
         self._hosts.start_grace_period(now_ms)
 
     def expire(self, now_ms: int) -> bool:
-        """Remove expired retained entries; return whether there were any."""
+        """End what is kept for a while; return whether anything changed."""
         servers = self._servers.expire(now_ms)
         hosts = self._hosts.expire(now_ms)
-        return servers or hosts
+        released = self._departures.pop_expired(now_ms)
+        for server_id in released:
+            self._release(server_id)
+        return servers or hosts or bool(released)
+
+    def _release(self, server_id: str) -> None:
+        """Use a server that was held back and whose entry still exists."""
+        item = self._items.get(wire.SERVERS_PREFIX + server_id)
+        if item is None:
+            return
+        match entries.read_server(server_id, item.value):
+            case Success(server):
+                self._departures.forget(server)
+                self._servers.put(server_id, server)
+                _log_server(server_id, 'no longer held back', item.revision)
 
     def replace(
         self, items: tuple[store.Item, ...], revision: int, now_ms: int
@@ -127,6 +152,7 @@
             },
         )
         self.start_grace_period(now_ms)
+        self._departures.record_restore(revision)
 
     def apply(self, event: store.Event, now_ms: int) -> None:
         """Apply one change of the store; ignore one that cannot be applied.
@@ -195,6 +221,10 @@
         self, name: str, event: store.Event, now_ms: int
     ) -> None:
         if isinstance(event, store.Removal):
+            self._departures.release(name)
+            removed = self._servers.get(name)
+            if removed is not None:
+                self._departures.record(removed, now_ms)
             self._servers.remove(name, now_ms)
             _log_server(name, 'gone', event.revision)
             return
@@ -207,6 +237,13 @@
                     'invalid server entry', extra={'reason': str(error)}
                 )
             case Success(server):
+                if server.state is model.ServerState.DRAINING:
+                    self._departures.record(server, now_ms)
+                elif self._departures.holds_back(
+                    server, event.revision, now_ms
+                ):
+                    _log_server(name, 'held back', event.revision)
+                    return
                 self._servers.put(name, server)
                 _log_server(name, server.state.value, event.revision)
 
@@ -224,6 +261,13 @@
                 self._removed_hosts.discard(name)
 
 
+def _server_id(key: str) -> str:
+    """Return the ID of the server whose key this is, or an empty string."""
+    if not key.startswith(wire.SERVERS_PREFIX):
+        return ''
+    return key.removeprefix(wire.SERVERS_PREFIX)
+
+
 def _log_server(name: str, state: str, revision: int) -> None:
     log.info(
         'server entry changed',
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -70,7 +70,7 @@
         self._time = time
         self._started_at_ms = time.now_ms()
         self._rng = random.Random()
-        self._state = fleet_state.FleetState()
+        self._state = fleet_state.FleetState(settings.heartbeat_ms)
         self._store_readers = store_readers.StoreReaders(
             settings.name, self._started_at_ms
         )
--- a/src/cardamomdeal/fleet/registry.py
+++ b/src/cardamomdeal/fleet/registry.py
@@ -52,6 +52,10 @@
         self._retained.pop(name, None)
         self._present[name] = entry
 
+    def get(self, name: str) -> Entry | None:
+        """Return the entry of this name that the store has, or None."""
+        return self._present.get(name)
+
     def remove(self, name: str, now_ms: int) -> None:
         """Remove an entry, at the end of the grace period if one runs."""
         entry = self._present.pop(name, None)
