Do not register under a lease from before the store was restored

By reading, while looking for other places that trust what a store gave out before it was restored: a host whose entry was lost renews its lease and, if that works, writes the entry again under it. The ID may have been given to another host since, at whose stop the entry of this one would go.

Change: a lease carries the era that granted it, and a host whose entry is missing after a restore takes a new one. A lease that the copy still holds, with its entry, is renewed as before.

Result: tests.unit.test_registrar.RegistrarTest. test_lease_from_before_a_restore_is_not_registered_with failed before (grant_lease was not called) and passes.

--- a/src/cardamomdeal/entry/registrar.py
+++ b/src/cardamomdeal/entry/registrar.py
@@ -93,8 +93,15 @@
         if self._lease is not None:
             self._is_renewed = False
             match self._client.renew_lease(self._lease):
-                case Success(_):
+                case Success(renewed):
                     self._is_renewed = True
+                    if (
+                        not self._is_registered
+                        and renewed.era > self._lease.era
+                    ):
+                        # Another host may have been given its ID since the
+                        # store was restored.
+                        self._lease = None
                 case Failure(errors.NotFound()):
                     log.warning('lease not found; registering this host again')
                     self._lease = None
--- a/tests/unit/test_registrar.py
+++ b/tests/unit/test_registrar.py
@@ -41,6 +41,16 @@
         self.client.grant_lease.assert_not_called()
         self.client.write.assert_not_called()
 
+    def test_lease_from_before_a_restore_is_not_registered_with(self):
+        # The store may have given its ID to another host since, whose stop
+        # then removed the entry of this one.
+        new_lease = store.Lease(LEASE.lease_id, 4_000, era=1)
+        self.client.renew_lease.return_value = Success(new_lease)
+        self.client.grant_lease.return_value = Success(store.Lease(8, 4_000))
+        self.registrar.receive(messages.RegistrationLost())
+        self.client.grant_lease.assert_called_once()
+        self.assertEqual(8, self.client.write.call_args.kwargs['lease_id'])
+
     def test_store_that_refuses_a_renewal_is_not_written_to(self):
         # A host that the store turned away wrote its entry after each failed
         # renewal, although the lease of the entry was not known to hold.
