Do not hold back servers that may only have expired

A host that had seen every entry expire in an outage of the store, and then read a copy that still held them, used no server from the end of the grace period until the hold ended: 5 s in the test's times. The same happened to a server that the first of two restored copies lacked and the second held.

Cause: any removal counted as a departure, also one in the grace period, which runs because an entry that goes missing then may have expired, or may be lacking in the copy only.

Evidence: tests.unit.test_departures.DeparturesTest. test_server_that_may_have_expired_in_an_outage_is_used and test_server_that_only_the_first_of_two_copies_lacks_is_used failed on the commit before: no server was in use.

Change: a removal counts as a departure only if the server is not retained. A server that said that it was leaving counts from then on, as before; a third test holds this. One that is removed in a grace period without having said so, and is in a copy restored after that, is used until its entry goes again.

Not seen in a process; found by reading.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -220,9 +220,10 @@
         if isinstance(event, store.Removal):
             self._departures.release(name)
             removed = self._servers.get(name)
-            if removed is not None:
-                self._departures.record(removed, now_ms)
             self._servers.remove(name, now_ms)
+            # A retained server may only have expired, or be lacking in a copy.
+            if removed is not None and not self._servers.is_retained(name):
+                self._departures.record(removed, now_ms)
             _log_server(name, 'gone', event.revision)
             return
         match entries.read_server(name, event.value):
--- a/src/cardamomdeal/fleet/registry.py
+++ b/src/cardamomdeal/fleet/registry.py
@@ -61,6 +61,10 @@
         if entry is not None and now_ms < self._grace_until_ms:
             self._retained[name] = RetainedEntry(entry, self._grace_until_ms)
 
+    def is_retained(self, name: str) -> bool:
+        """Return whether an entry is missing but still counts as present."""
+        return name in self._retained
+
     def discard(self, name: str) -> None:
         """Remove an entry at once, for instance if it was overwritten."""
         self._present.pop(name, None)
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -107,6 +107,26 @@
         self.assertEqual((), self.state.servers())
         self.assertEqual((), self.state.items())
 
+    def test_server_that_may_have_expired_in_an_outage_is_used(self):
+        self.state.start_grace_period(LEFT_AT_MS)
+        self.state.apply(store.Removal(KEY, 6), LEFT_AT_MS)
+        self.restore(self.copied())
+        self.state.expire(RESTORED_AT_MS + 2_000)
+        self.assertEqual(['i-1'], self.ready_servers())
+
+    def test_server_that_only_the_first_of_two_copies_lacks_is_used(self):
+        self.state.replace((), revisions.pack(1, 1), RESTORED_AT_MS)
+        self.restore(self.copied(era=2), era=2, now_ms=RESTORED_AT_MS + 1_000)
+        self.state.expire(RESTORED_AT_MS + 3_000)
+        self.assertEqual(['i-1'], self.ready_servers())
+
+    def test_leaving_server_that_goes_after_an_outage_stays_away(self):
+        self.state.apply(store.Item(KEY, entry('draining'), 6), LEFT_AT_MS)
+        self.state.start_grace_period(LEFT_AT_MS)
+        self.state.apply(store.Removal(KEY, 7), LEFT_AT_MS)
+        self.restore(self.copied())
+        self.assertEqual([], self.ready_servers())
+
     def test_departures_are_forgotten(self):
         known = departures.Departures(HEARTBEAT_MS)
         (server,) = self.state.servers()
