Send other hosts the entries of servers that are held back, too

A host that got its view from another one, while that held a server back after a restore, lacked the server for good: nothing sent it the entry once the hold had ended, as the revision stayed the same. By reading, the parts of two such views of one revision could also be mixed.

Cause: entries of held servers were left out of views that hosts send, so that a revision no longer stood for one content.

Evidence: found by review, with two states of the fleet: after the hold the sender had both servers, the receiver one.

Change: a view holds every entry, and a host that has seen a server leave holds it back itself.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -61,15 +61,8 @@
         return self._routes is not None and self._routes.has_quotas
 
     def items(self) -> tuple[store.Item, ...]:
-        """Return the store items as received, for sending to other hosts.
-
-        Those of servers that are held back would bring them into use there.
-        """
-        return tuple(
-            item
-            for key, item in self._items.items()
-            if not self._departures.is_held(_server_id(key))
-        )
+        """Return the store items as received, for sending to other hosts."""
+        return tuple(self._items.values())
 
     def servers(self) -> tuple[model.BackendServer, ...]:
         """Return the backend servers that are present."""
@@ -275,13 +268,6 @@
                 self._removed_hosts.discard(name)
 
 
-def _server_id(key: str) -> str:
-    """Return the ID of the server whose key this is, or an empty string."""
-    if not key.startswith(wire.SERVERS_PREFIX):
-        return ''
-    return key.removeprefix(wire.SERVERS_PREFIX)
-
-
 def _log_server(name: str, state: str, revision: int) -> None:
     log.info(
         'server entry changed',
--- a/src/cardamomdeal/fleet/departures.py
+++ b/src/cardamomdeal/fleet/departures.py
@@ -69,10 +69,6 @@
         """End the hold of a server whose entry is gone."""
         self._held_until_ms.pop(server_id, None)
 
-    def is_held(self, server_id: str) -> bool:
-        """Return whether a server is held back."""
-        return server_id in self._held_until_ms
-
     def pop_expired(self, now_ms: int) -> list[str]:
         """Return the servers whose hold has ended since the last call."""
         expired = [
