Keep an earlier start of a server out of use after a restore

A server that had started again, possibly at another address, was replaced by its earlier start when the store came back from a copy that held that. Requests then went to an address that nobody or another server has.

Cause: an entry that is overwritten by a later start is not removed, so the earlier start did not count as gone.

Evidence: tests.unit.test_departures.DeparturesTest. test_earlier_incarnation_of_a_server_stays_away failed: the server in use was the earlier start.

Change: a start that a later one replaces counts as gone.

Result: the test passes. Found by review.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -251,6 +251,9 @@
                 ):
                     _log_server(name, 'held back', event.revision)
                     return
+                previous = self._servers.get(name)
+                if previous and previous.born_ms < server.born_ms:
+                    self._departures.record(previous, now_ms)
                 self._servers.put(name, server)
                 _log_server(name, server.state.value, event.revision)
 
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -95,6 +95,15 @@
         self.restore(self.copied())
         self.assertEqual(['i-1'], self.ready_servers())
 
+    def test_earlier_incarnation_of_a_server_stays_away(self):
+        restarted = entry(born=1_788_000_009_000)
+        self.state.apply(store.Item(KEY, restarted, 6), LEFT_AT_MS)
+        self.restore(self.copied())
+        self.assertEqual(
+            [1_788_000_009_000],
+            [server.born_ms for server in self.state.servers()],
+        )
+
     def test_server_that_the_copy_lacks_has_time_to_write_again(self):
         self.restore(store.Item('other', b'', revisions.pack(1, 1)))
         self.assertEqual(['i-1'], self.ready_servers())
