Do not prolong the hold of a server at each complete read

A host that got a view every 0.9 s, as while the store turns it away, held a server back for up to a minute that had come back before the restore.

Cause: each complete read started the hold again.

Evidence: found by review; tests.unit.test_departures.DeparturesTest. test_further_reads_do_not_prolong_a_hold failed: no server in use when the hold should have ended.

Change: a hold ends when the first read said it would.

Result: the test passes.

--- a/src/cardamomdeal/fleet/departures.py
+++ b/src/cardamomdeal/fleet/departures.py
@@ -55,7 +55,10 @@
             and revision <= self._restored_revision
         )
         if is_held:
-            self._held_until_ms[server.server_id] = now_ms + self._hold_ms
+            # Several complete reads may bring the same entry.
+            self._held_until_ms.setdefault(
+                server.server_id, now_ms + self._hold_ms
+            )
         else:
             self.forget(server)
         return is_held
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -95,6 +95,13 @@
         self.restore(self.copied())
         self.assertEqual(['i-1'], self.ready_servers())
 
+    def test_further_reads_do_not_prolong_a_hold(self):
+        self.state.apply(store.Removal(KEY, 6), LEFT_AT_MS)
+        for now_ms in range(RESTORED_AT_MS, RESTORED_AT_MS + HOLD_MS, 900):
+            self.restore(self.copied(), now_ms=now_ms)
+        self.state.expire(RESTORED_AT_MS + HOLD_MS)
+        self.assertEqual(['i-1'], self.ready_servers())
+
     def test_earlier_incarnation_of_a_server_stays_away(self):
         restarted = entry(born=1_788_000_009_000)
         self.state.apply(store.Item(KEY, restarted, 6), LEFT_AT_MS)
