Believe an era far above the last one only when it is stated twice

One wrong era in an answer of the store, if high enough, made a host take all later answers for outdated. It fell behind until it restarted, and the other hosts read the store all the while.

Change: the era rises by one at each restore, so a step above ten needs two answers in a row. The call that states it first fails.

--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -23,6 +23,8 @@
 # The store responds to a watch when its wait expires; the call fails if
 # there is still no response this much later.
 WATCH_TIMEOUT_MARGIN_MS = 400
+# The era rises by one at each restore; a host may miss a few.
+MAX_ERA_STEP = 10
 
 _PATH_PREFIX = '/cardamomdeal/'
 
@@ -134,6 +136,8 @@
         self.calls = 0
         # Newest era that an answer stated; None before the first answer.
         self._era: int | None = None
+        # An era far above it, until another answer states it too.
+        self._unconfirmed_era: int | None = None
         self._timeout_ms = timeout_ms
         self._server_address = server_address
         self._pool = _connect(server_address)
@@ -221,7 +225,11 @@
         expected_revision: int | None = None,
         lease_id: int = NO_LEASE,
     ) -> Result[int, errors.PlatformError]:
-        """Write a key, only at `expected_revision` if that is given."""
+        """Write a key, only at `expected_revision` if that is given.
+
+        A conflict is also reported if the store was restored meanwhile: then
+        the condition may have been met by another value, and the write done.
+        """
         body: dict[str, Any] = {
             'puts': [
                 {
@@ -321,26 +329,37 @@
             # urllib3 raises ValueError for a chunk of negative size.
             return Failure(errors.PlatformUnavailable(str(error)))
         return _result_for_status(name, response).bind(
-            lambda body: self._record_era(
+            lambda data: self._record_era(
                 response.headers.get(wire.STORE_ERA)
-            ).map(lambda era: _Answer(body, era))
+            ).map(lambda era: _Answer(data, era))
         )
 
     def _record_era(
         self, stated: str | None
     ) -> Result[int, errors.PlatformError]:
         """Return the era of an answer; fail if it cannot be trusted."""
-        known = self._era or 0
         era = 0 if stated is None else _read_era(stated)
-        if era is None or era < known:
+        if era is None or not self._is_plausible(era):
             return Failure(
                 errors.InvalidEra(
-                    f'{wire.STORE_ERA} is {stated!r}, the last one was {known}'
+                    f'{wire.STORE_ERA} is {stated!r}, '
+                    f'the last one was {self._era}'
                 )
             )
         self._era = era
         return Success(era)
 
+    def _is_plausible(self, era: int) -> bool:
+        """Return whether the era may follow the last one.
+
+        A wrong era that is too high would make all right ones invalid.
+        """
+        if self._era is None or self._era <= era <= self._era + MAX_ERA_STEP:
+            return True
+        is_confirmed = era > self._era and era == self._unconfirmed_era
+        self._unconfirmed_era = era
+        return is_confirmed
+
 
 def _connect(server_address: address.Address) -> urllib3.HTTPConnectionPool:
     # A connection on which a response was lost delivers no more data, so it
--- a/tests/contract/test_store_client.py
+++ b/tests/contract/test_store_client.py
@@ -182,6 +182,33 @@
                 self.assertIn(wire.STORE_ERA, str(invalid.failure()))
                 self.assertEqual(2, revisions.era(valid.unwrap().revision))
 
+    def test_era_far_above_the_last_one_needs_a_second_answer(self):
+        # One wrong era made all later answers invalid.
+        _, wrong, right = self.read_all(b'2', b'32000', b'3')
+        self.assertIsInstance(wrong.failure(), errors.InvalidEra)
+        self.assertEqual(3, revisions.era(right.unwrap().revision))
+        *_, second = self.read_all(b'2', b'32000', b'32000')
+        self.assertEqual(32_000, revisions.era(second.unwrap().revision))
+
+    def test_restore_between_two_pages(self):
+        page = (
+            b'{"items": [{"key": "a", "revision": 6}], "has_more": %s,'
+            b' "store_revision": 7}'
+        )
+        answers = [
+            broken_answers.answer(
+                b'Content-Length: %d\r\n%s: %d'
+                % (len(body), wire.STORE_ERA.encode(), era),
+                body=body,
+            )
+            for era, body in ((1, page % b'true'), (2, page % b'false'))
+        ]
+        server = scripted_server.ScriptedServer(answers)
+        self.addCleanup(server.close)
+        client = store.StoreClient(server.address, TIMEOUT_MS)
+        self.addCleanup(client.close)
+        self.assertIsInstance(client.range('').failure(), errors.StoreRestored)
+
     def test_era_that_is_missing_or_goes_back_is_not_used(self):
         for era in (None, b'2'):
             with self.subTest(era=era):
