Give messages with eras in their revisions tags of their own

During a rollout, a host of the version before that got a view from one of this version held a revision that no number of the store reaches, and applied no change from then on.

Evidence: found by review, in a simulated fleet of both versions: the host did not apply the next configuration within 8 s of reaching the store. tests.contract.test_codec.CodecTest.test_revisions_without_an_era_are_rejected failed: the message of the earlier form was decoded.

Change: the six messages that hold revisions of the store have new tags, so hosts of either version ignore those of the other and read the store.

Result: the test passes. A rollout was not run with processes.

--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -10,6 +10,15 @@
     """Base class of all inner messages; the class name is the wire tag."""
 
 
+class RevisionMessage(
+    Message, frozen=True, tag=lambda class_name: class_name + '2'
+):
+    """Message with revisions that hold the store's era.
+
+    The tag keeps hosts that order by the number alone from reading it.
+    """
+
+
 class Head(msgspec.Struct, frozen=True, array_like=True):
     """Version and digest of the configuration in force."""
 
@@ -242,7 +251,7 @@
     revision: int
 
 
-class StoreProgress(Message, frozen=True):
+class StoreProgress(RevisionMessage, frozen=True):
     """Store revision that a host has read up to, and the age of that read."""
 
     host: str
@@ -250,7 +259,7 @@
     age_ms: int
 
 
-class StoreChanges(Message, frozen=True):
+class StoreChanges(RevisionMessage, frozen=True):
     """Store entries that changed between two revisions."""
 
     host: str
@@ -261,14 +270,14 @@
     entries: tuple[StoreEntry, ...]
 
 
-class StoreChangesRequest(Message, frozen=True):
+class StoreChangesRequest(RevisionMessage, frozen=True):
     """Request the changes since a revision from a host with a newer one."""
 
     host: str
     after_revision: int
 
 
-class ViewRequest(Message, frozen=True):
+class ViewRequest(RevisionMessage, frozen=True):
     """Request what a host knows of the store, or only what has changed."""
 
     host: str
@@ -277,7 +286,7 @@
     age_ms: int | None
 
 
-class ViewPart(Message, frozen=True):
+class ViewPart(RevisionMessage, frozen=True):
     """Part `number`, from 0, of `count` of a host's copy of the store."""
 
     host: str
@@ -296,7 +305,7 @@
     age_ms: int | None
 
 
-class ProofReply(Message, frozen=True):
+class ProofReply(RevisionMessage, frozen=True):
     """Reply to a ProofRequest: this revision was the newest so long ago."""
 
     nonce: int
--- a/tests/contract/test_codec.py
+++ b/tests/contract/test_codec.py
@@ -30,6 +30,26 @@
                 decoded = codec.decode(codec.encode(message)).unwrap()
                 self.assertEqual(message, decoded)
 
+    def test_revisions_without_an_era_are_rejected(self) -> None:
+        # A host without eras in its revisions would take those of a host with
+        # them for far newer, and ignore the store from then on.
+        data = msgspec.msgpack.encode(
+            [
+                1,
+                {
+                    'type': 'StoreProgress',
+                    'host': 'h',
+                    'revision': 7,
+                    'age_ms': 0,
+                },
+            ]
+        )
+        failure = codec.decode(data).failure()
+        self.assertIsInstance(failure, errors.InvalidMessage)
+        progress = messages.StoreProgress('h', 7, 0)
+        decoded = codec.decode(codec.encode(progress)).unwrap()
+        self.assertEqual(progress, decoded)
+
     def test_other_protocol_version_is_rejected(self) -> None:
         data = msgspec.msgpack.encode([2, {'type': 'StopGateway'}])
         failure = codec.decode(data).failure()
