--- a/tests/unit/test_adoption.py
+++ b/tests/unit/test_adoption.py
@@ -25,6 +25,13 @@
                 self.adoption.offer(*make_offer(version))
                 self.assertEqual(expected, self.adoption.version)
 
+    def test_version_given_out_again_after_a_restore_is_adopted(self) -> None:
+        # The store lost version 3, and the next change was given 3 as well.
+        self.adoption.offer(*make_offer(3))
+        self.adoption.confirm_from_store(3)
+        decision = self.adoption.offer(*make_offer(3, deadline_ms=2_000))
+        self.assertIsInstance(decision, adoption.Adopted)
+
     def test_an_invalid_document_is_rejected(self) -> None:
         raw = support.small_document()
         raw['services'][0]['floor_slots'] = 1000
