--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -153,6 +153,14 @@
         self.restore(self.copied())
         self.assertEqual([], self.ready_servers())
 
+    def test_server_that_is_removed_soon_after_a_restore_stays_away(self):
+        self.restore(self.copied())
+        removal = store.Removal(KEY, revisions.pack(1, 3))
+        self.state.apply(removal, RESTORED_AT_MS + 500)
+        self.restore(self.copied(era=2), era=2, now_ms=RESTORED_AT_MS + 2_000)
+        self.state.expire(RESTORED_AT_MS + 2_000)
+        self.assertEqual((), self.state.servers())
+
     def test_departures_are_forgotten(self):
         known = departures.Departures(HEARTBEAT_MS)
         (server,) = self.state.servers()
