Pass on what a complete read of the store shows

When the store forgot its history beside a change, hosts that do not read the store ran requests on the old configuration and sent them to servers that had left, for up to 0.4 s after the two seconds; with a store that answers slowly, for up to 1.2 s.

Cause: the readers, whose watches end with 410, read all keys again, and told the others their new revision but no change. These asked for the changes, got no answer, waited 500 ms, watched the store, got 410 too, waited out the interval between two calls and only then read all keys.

Change: a host compares a complete read with what it knows, keeps the difference for hosts that ask, and sends it as it sends the changes of a watch. Not after a restore, whose revisions do not continue those known.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -108,6 +108,32 @@
                 self._servers.put(server_id, server)
                 _log_server(server_id, 'no longer held back', item.revision)
 
+    def changes_in(
+        self, items: tuple[store.Item, ...], revision: int
+    ) -> tuple[store.Event, ...]:
+        """Return what has changed in a complete read, in order of revisions.
+
+        Nothing if it does not continue this state's revisions. What was
+        written while the pages were read is left to the watch that follows.
+        """
+        if self.is_empty or revisions.is_restored(self.revision, revision):
+            return ()
+        written = sorted(
+            (
+                item
+                for item in items
+                if self.revision < item.revision <= revision
+            ),
+            key=lambda item: item.revision,
+        )
+        keys = {item.key for item in items}
+        removed = (
+            store.Removal(key, revision)
+            for key in self._items
+            if key not in keys and key != wire.CONFIGURATION_KEY
+        )
+        return (*written, *removed)
+
     def replace(
         self, items: tuple[store.Item, ...], revision: int, now_ms: int
     ) -> None:
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -475,10 +475,26 @@
             self._log_ignored(snapshot.revision)
             self._freshness.confirm(now_ms)
         else:
-            self._replace_view(snapshot.items, snapshot.revision, now_ms)
+            self._adopt_snapshot(snapshot, now_ms)
         self._proofs.record_store_answer(snapshot.asked_at_ms)
         self._send_proof()
 
+    def _adopt_snapshot(
+        self, snapshot: messages.StoreSnapshot, now_ms: int
+    ) -> None:
+        """Replace the state, and pass on what other hosts missed as well."""
+        known_revision = self._state.revision
+        changes = self._state.changes_in(snapshot.items, snapshot.revision)
+        self._replace_view(snapshot.items, snapshot.revision, now_ms)
+        if not changes:
+            return
+        entries = [_to_entry(event) for event in changes]
+        self._recent_changes.clear(known_revision)
+        self._recent_changes.record(entries)
+        self._pass_on_changes(
+            entries, known_revision, snapshot.revision, now_ms
+        )
+
     def _replace_view(
         self, items: tuple[store.Item, ...], revision: int, valid_at_ms: int
     ) -> None:
@@ -506,12 +522,22 @@
         self._freshness.confirm(now_ms)
         self._proofs.record_store_answer(changes.asked_at_ms)
         self._send_proof()
-        if has_new_changes and self._store_readers.should_send_changes(now_ms):
+        if has_new_changes:
             entries = [_to_entry(event) for event in changes.events]
-            for message in self._split_changes(
-                entries, after_revision, revision
-            ):
-                self._send_to_peers(message)
+            self._pass_on_changes(entries, after_revision, revision, now_ms)
+
+    def _pass_on_changes(
+        self,
+        entries: list[protocol.StoreEntry],
+        after_revision: int,
+        revision: int,
+        now_ms: int,
+    ) -> None:
+        """Send changes that were read to all other hosts, if it is due."""
+        if not self._store_readers.should_send_changes(now_ms):
+            return
+        for message in self._split_changes(entries, after_revision, revision):
+            self._send_to_peers(message)
 
     def _log_ignored(self, revision: int) -> None:
         log.info(
