Read all keys at once after the store's history is lost

A host that did not read the store learned of a change that was written just after a restore up to 1.3 s late, and 2.2 s with a store that answers slowly.

Cause: the watch that ends with 410, or in a newer era, counts as a call, so the complete read waited out the interval of 600 ms between two calls.

Evidence: tests.contract.test_store_follower.StoreFollowerTest. test_lost_history_is_made_up_for_at_once failed on the commit before.

Change: the complete read follows at once. The interval is for writes that end the watches of every host, which cannot repeat a lost history.

Result: the test passes, with the seven of its module and that of tests.history.test_disruptions, whose follower is changed alike. Not run with processes.

--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -115,6 +115,7 @@
                     extra={'reason': str(error)},
                 )
                 self._revision = None
+                self._last_call_at_ms = 0
             case Failure(error):
                 self._synchronizer.tell(messages.StoreFailed(str(error)))
                 clock.wait_ms(self._wait_event, self._next_retry_delay_ms())
--- a/tests/contract/test_store_follower.py
+++ b/tests/contract/test_store_follower.py
@@ -141,6 +141,21 @@
         time.sleep(0.6)
         self.assertEqual(calls, self.store.calls.total())
 
+    def test_lost_history_is_made_up_for_at_once(self):
+        # The interval between two calls delayed the complete read.
+        client = mock.Mock(spec=store.StoreClient)
+        client.range.return_value = Success(store.Range((), 1))
+        client.watch.return_value = Failure(errors.RevisionCompacted('410'))
+        time_ms = clock.ManualClock(1_000_000)
+        follower = store_follower.StoreFollower(mock.Mock(), client, time_ms)
+        follower.receive(messages.FollowStore(True, 0, INTERVAL_MS))
+        follower.receive(messages.PollStore())
+        time_ms.advance(INTERVAL_MS)
+        follower.receive(messages.PollStore())
+        self.assertEqual(1, client.range.call_count)
+        follower.receive(messages.PollStore())
+        self.assertEqual(2, client.range.call_count)
+
     def test_pauses_after_failed_calls_grow_up_to_their_maximum(self):
         # In an outage each host called the store as often as at its start.
         client = mock.Mock(spec=store.StoreClient)
--- a/tests/history/test_disruptions.py
+++ b/tests/history/test_disruptions.py
@@ -123,6 +123,7 @@
             after < fleet.lost_before or after > current.revision
         ):
             self._revision = None
+            self._last_call_at_ms = 0
             self._go_on()
             return
         events = tuple(e for e in current.history if e.revision > after)
