--- a/tests/history/test_disruptions.py
+++ b/tests/history/test_disruptions.py
@@ -421,11 +421,12 @@
         if self.rng.random() < 0.5:
             server.state = 'draining'
             self._write(server)
-            self.events.after(2_500, lambda: self._end(server))
+            self.events.after(2_500, lambda: self.let_go(server))
         else:
-            self._end(server)
+            self.let_go(server)
 
-    def _end(self, server):
+    def let_go(self, server):
+        """Remove the entry of a server for good."""
         server.state = 'gone'
         if not self._is_down():
             self._remove(server.key)
@@ -620,6 +621,30 @@
                 self.assertEqual([], late)
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """A server goes just after a restore.
+
+    What goes missing after a restore is retained for a while, which began at
+    each host when it had read the copy.
+    """
+
+    def test_server_that_goes_is_known_in_time(self):
+        for seed in range(20):
+            fleet = Fleet(seed)
+            fleet.events.run(fleet.rng.randrange(3_000))
+            restore(fleet)
+            fleet.events.run(fleet.rng.randrange(200, 500))
+            fleet.let_go(fleet.servers[0])
+            fleet.events.run(KNOWN_MS)
+            with self.subTest(seed=seed, hosts=len(fleet.hosts)):
+                late = [
+                    host.entry.name
+                    for host in fleet.hosts
+                    if 'i-0' in host.ready
+                ]
+                self.assertEqual([], late)
+
+
 def main():
     """Play the seeds from the first to before the last of the arguments."""
     names = sys.argv[3:]
