Open a new connection when a host begins to read the store

A host that does not read the store, and lost its readers, kept the old configuration and servers that had left for more than 4 s after its last news.

Cause: it kept the connection of its last call. When that had died without a sign, its first watch waited 1.1 s for nothing, on top of the 1.2 s after which a view is stale, and the pause after a failed call of such a host is another 1.5 s, give or take 0.45 s.

Evidence: tests.contract.test_store_follower.StoreFollowerTest. test_connection_that_died_while_it_was_idle_is_not_used, with a relay that drops what the store sends, failed on the commit before: the change was reported after 3.1 s.

Change: the follower gives its connection up when it stops reading.

Result: the test passes, with the 27 of its module, test_store_client and tests.history.test_disruptions, whose follower is changed alike.

--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -90,6 +90,8 @@
     def _poll(self) -> None:
         if not self._is_following:
             self._is_polling = False
+            # An idle connection may die without a sign before it is needed.
+            self._client.reconnect()
             return
         remaining_ms = (
             self._last_call_at_ms
--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -146,9 +146,13 @@
         """Send further calls to another address."""
         if server_address == self._server_address:
             return
-        self._pool.close()
         self._server_address = server_address
-        self._pool = _connect(server_address)
+        self.reconnect()
+
+    def reconnect(self) -> None:
+        """Let the next call open a new connection."""
+        self._pool.close()
+        self._pool = _connect(self._server_address)
 
     def get(self, key: str) -> Result[Item, errors.PlatformError]:
         """Read a key; NotFound when it does not exist."""
--- a/tests/contract/test_store_follower.py
+++ b/tests/contract/test_store_follower.py
@@ -17,6 +17,7 @@
 from cardamomdeal.platform import store
 from devel import fleet
 from devel import store_standin
+from tests import relay
 
 HOSTS = 48
 INTERVAL_MS = 150
@@ -141,6 +142,26 @@
         time.sleep(0.6)
         self.assertEqual(calls, self.store.calls.total())
 
+    def test_connection_that_died_while_it_was_idle_is_not_used(self):
+        # A host that had to read again lost a timeout and a long pause to it.
+        listen = address.Address('127.0.0.1', fleet.free_port())
+        between = relay.Relay(listen, self.store_address)
+        self.addCleanup(between.close)
+        follower = store_follower.StoreFollower.start(
+            self.key_recorder, store.StoreClient(listen, 500), clock.Clock()
+        )
+        follower.tell(messages.FollowStore(True, 1_500, INTERVAL_MS))
+        self.store.put('hosts/0', b'{}')
+        self.wait_until_reported(1)
+        follower.tell(messages.FollowStore(False, 1_500, INTERVAL_MS))
+        time.sleep((store_follower.WATCH_MS + 200) / 1_000)
+        between.drop_in_open_connections('to caller')
+        self.store.put('hosts/1', b'{}')
+        started_s = time.monotonic()
+        follower.tell(messages.FollowStore(True, 1_500, INTERVAL_MS))
+        self.wait_until_reported(2)
+        self.assertLess(time.monotonic() - started_s, 1.0)
+
     def test_lost_history_is_made_up_for_at_once(self):
         # The interval between two calls delayed the complete read.
         client = mock.Mock(spec=store.StoreClient)
@@ -181,9 +202,12 @@
             self.assertAlmostEqual(expected, waited, delta=0.31 * expected)
 
     def wait_until_all_reported(self):
+        self.wait_until_reported(HOSTS)
+
+    def wait_until_reported(self, count):
         deadline_s = time.monotonic() + 5
         while time.monotonic() < deadline_s:
-            if self.key_recorder.ask('count') == HOSTS:
+            if self.key_recorder.ask('count') == count:
                 return
             time.sleep(0.05)
         self.fail('changes are missing')
--- a/tests/history/test_disruptions.py
+++ b/tests/history/test_disruptions.py
@@ -71,6 +71,7 @@
                     self._wanted = message
                     if message.follow and not self._is_polling:
                         self._is_polling = True
+                        self.is_silent = False
                         self._host.later(0, self._poll)
 
     def _poll(self):
