Send values that fit no datagram in fragments to hosts turned away

Hosts that the store turned away routed by an old configuration, and sent requests to servers that had left, for as long as it served only others, once the configuration was above 60 KB when compressed.

Cause: an entry went from host to host in one datagram, and one that did not fit was dropped. Changes apply in order, so it held up every later one, also those of servers, and a view without it was never complete.

Change: a message that would not fit goes out as an outline, with the digests and sizes of its large values. A host whose last call to the store has failed requests these in fragments, two at a time, from hosts chosen by their links, and again what is lost; the message is applied once the whole has the digest. Hosts that read the store ask for nothing and read it as before. Each value is packed once. Hosts of an older version ignore the new messages. The bound of the test is 7 s: 2 s, and 5 s for an unstable store.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -9,6 +9,7 @@
 from cardamomdeal.entry import messages
 from cardamomdeal.entry import proof_keeper
 from cardamomdeal.entry import report_exchange
+from cardamomdeal.entry import value_exchange
 from cardamomdeal.fleet import freshness
 from cardamomdeal.fleet import model
 from cardamomdeal.fleet import peers
@@ -79,6 +80,7 @@
         self._proofs = proof_keeper.ProofKeeper(
             settings, host, self._state, self._rng
         )
+        self._values = value_exchange.ValueExchange(settings.name, self._rng)
         self._is_flush_scheduled = False
         self._hosts: tuple[model.EntryHost, ...] = ()
         self._last_update: messages.ServersUpdated | None = None
@@ -169,6 +171,7 @@
             self._request_view(now_ms)
         if self._is_reading and self._freshness.was_confirmed:
             self._send_progress()
+        self._send_all(self._values.repeat_lost(now_ms))
         self._send_all(self._reports.heartbeat(self._local_peers(), now_ms))
 
     def _update_store_reading(self) -> None:
@@ -244,6 +247,15 @@
                 self._answer_view_request(sender, revision, age_ms)
             case protocol.ViewPart():
                 self._handle_view_part(received, now_ms)
+            case protocol.Outline():
+                self._handle_outline(sender, received, now_ms)
+            case protocol.FragmentRequest():
+                self._send_all(
+                    self._values.answer(sender, received, self._state.items())
+                )
+            case protocol.Fragment():
+                self._send_all(self._values.receive(sender, received, now_ms))
+                self._handle_whole_parts(now_ms)
             case protocol.ProofRequest():
                 self._send_all(self._proofs.answer(sender, received, now_ms))
             case protocol.ProofReply():
@@ -302,6 +314,39 @@
         if changes.revision == self._state.revision:
             self._freshness.confirm(now_ms - changes.age_ms)
 
+    def _handle_outline(
+        self,
+        sender: address.Address,
+        outline: protocol.Outline,
+        now_ms: int,
+    ) -> None:
+        """Request what an outline lacks if the store serves nothing."""
+        match outline.message:
+            case protocol.StoreChanges(_, after_revision, revision):
+                if self._state.is_empty or revision <= self._state.revision:
+                    return
+                self._freshness.record_missing_changes(now_ms)
+                if after_revision > self._state.revision:
+                    self._request_changes(sender, now_ms)
+                    return
+            case protocol.ViewPart(_, revision):
+                is_older = revision < self._state.revision
+                if is_older or not self._freshness.is_stale(now_ms):
+                    return
+        if self._freshness.is_turned_away(now_ms):
+            self._send_all(self._values.expect(sender, outline, now_ms))
+            self._handle_whole_parts(now_ms)
+
+    def _handle_whole_parts(self, now_ms: int) -> None:
+        for received in self._values.pop_whole(now_ms):
+            match received.part:
+                case protocol.StoreChanges() as changes:
+                    self._handle_peer_changes(received.sender, changes, now_ms)
+                    # More may have changed meanwhile.
+                    self._request_changes(received.sender, now_ms)
+                case protocol.ViewPart() as part:
+                    self._handle_view_part(part, now_ms)
+
     def _request_changes(self, sender: address.Address, now_ms: int) -> None:
         if self._state.is_empty or self._changes_requested_at_ms == now_ms:
             return
@@ -339,23 +384,32 @@
         entries: list[protocol.StoreEntry],
         after_revision: int,
         revision: int,
-    ) -> list[protocol.StoreChanges]:
+    ) -> list[protocol.StoreChanges | protocol.Outline]:
+        """Split changes into messages; end with the first outline.
+
+        Its receivers cannot apply later changes before they have its values.
+        """
         parts = view_transfer.split_changes(
             entries,
             [_size_bytes(entry) for entry in entries],
             after_revision,
             revision,
         )
-        return [
-            protocol.StoreChanges(
-                self._settings.name,
-                part.after_revision,
-                part.revision,
-                self._view_age_ms(),
-                part.entries,
+        split: list[protocol.StoreChanges | protocol.Outline] = []
+        for part in parts:
+            message = self._values.outline(
+                protocol.StoreChanges(
+                    self._settings.name,
+                    part.after_revision,
+                    part.revision,
+                    self._view_age_ms(),
+                    part.entries,
+                )
             )
-            for part in parts
-        ]
+            split.append(message)
+            if isinstance(message, protocol.Outline):
+                break
+        return split
 
     def _request_view(
         self, now_ms: int, known_peer: address.Address | None = None
@@ -426,13 +480,15 @@
             },
         )
         for number, part_entries in enumerate(parts):
-            part = protocol.ViewPart(
-                self._settings.name,
-                self._state.revision,
-                self._view_age_ms(),
-                number,
-                len(parts),
-                part_entries,
+            part = self._values.outline(
+                protocol.ViewPart(
+                    self._settings.name,
+                    self._state.revision,
+                    self._view_age_ms(),
+                    number,
+                    len(parts),
+                    part_entries,
+                )
             )
             self._datagrams.command(datagrams.SendTo((recipient,), part))
 
@@ -577,6 +633,7 @@
             )
 
     def _record_store_response(self, now_ms: int) -> None:
+        self._freshness.record_response()
         if self._is_store_unavailable or self._freshness.is_stale(now_ms):
             self._is_store_unavailable = False
             log.info(
@@ -666,6 +723,7 @@
         self._peers.set_registered(hosts, self._time.now_ms())
         self._reports.set_hosts(hosts, self._time.now_ms())
         self._proofs.set_hosts(hosts)
+        self._values.set_hosts(hosts)
         self._store_readers.set_hosts(
             {host.name: host.link_mbps for host in (self._host, *hosts)},
             self._time.now_ms(),
--- a/src/cardamomdeal/fleet/freshness.py
+++ b/src/cardamomdeal/fleet/freshness.py
@@ -6,6 +6,9 @@
 # A host that knows of changes but has not received them within this time
 # reads them from the store: they were lost or are too large for a datagram.
 MISSING_CHANGES_TIMEOUT_MS = 500
+# The store turns a host away for this long after a failed call. While it lacks
+# changes the next call comes earlier.
+TURNED_AWAY_MS = 5_000
 # An entry expires after three heartbeats without a renewal, the last of which
 # may have been due just before the outage; it may also have come early.
 MIN_OUTAGE_HEARTBEATS = 1.7
@@ -15,13 +18,15 @@
     """Age of a host's view of the store, and whether it lacks changes.
 
     Covers a change that is too large for a datagram: every host must apply
-    it within two seconds, so each one reads it from the store.
+    it within two seconds, so each one reads it from the store, or gets it in
+    fragments from another host if the store turns it away.
     """
 
     def __init__(self, heartbeat_ms: int) -> None:
         self._min_outage_ms = round(MIN_OUTAGE_HEARTBEATS * heartbeat_ms)
         self._confirmed_at_ms: int | None = None
         self._failed_at_ms: int | None = None
+        self._has_failed_last = False
         self._missing_changes_since_ms: int | None = None
         self._is_outdated = False
 
@@ -32,6 +37,11 @@
     def record_failure(self, now_ms: int) -> None:
         """Record that this host could not read the store."""
         self._failed_at_ms = now_ms
+        self._has_failed_last = True
+
+    def record_response(self) -> None:
+        """Record that the store has answered this host."""
+        self._has_failed_last = False
 
     def record_missing_changes(self, now_ms: int) -> None:
         """Record that there are changes which this host has not received."""
@@ -69,6 +79,14 @@
         """Return whether the view was last confirmed too long ago."""
         return self.age_ms(now_ms) > STALE_MS
 
+    def is_turned_away(self, now_ms: int) -> bool:
+        """Return whether the store does not serve this host."""
+        return (
+            self._has_failed_last
+            and self._failed_at_ms is not None
+            and now_ms - self._failed_at_ms <= TURNED_AWAY_MS
+        )
+
     def may_miss_expired_entries(self, now_ms: int) -> bool:
         """Return whether entries may have expired in an outage of the store.
 
--- a/src/cardamomdeal/protocol/codec.py
+++ b/src/cardamomdeal/protocol/codec.py
@@ -76,7 +76,8 @@
 def encode_compressed(message: messages.AnyMessage) -> bytes:
     """Encode a message, compressed if it is long."""
     data = encode(message)
-    if len(data) < MIN_COMPRESSED_BYTES:
+    is_packed = isinstance(message, messages.Fragment)
+    if is_packed or len(data) < MIN_COMPRESSED_BYTES:
         return data
     return zlib.compress(data, COMPRESSION_LEVEL)
 
--- a/src/cardamomdeal/protocol/messages.py
+++ b/src/cardamomdeal/protocol/messages.py
@@ -297,6 +297,44 @@
     entries: tuple[StoreEntry, ...]
 
 
+# SHA-256.
+Digest = Annotated[bytes, msgspec.Meta(min_length=32, max_length=32)]
+FragmentNumber = Annotated[int, msgspec.Meta(ge=0, le=1_000)]
+
+
+class LargeValue(msgspec.Struct, frozen=True, array_like=True):
+    """Value of a store entry that is sent apart from it, in fragments."""
+
+    # Place of its entry in the message.
+    index: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+    # Of the value itself.
+    digest: Digest
+    # Compressed.
+    size_bytes: Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+
+
+class Outline(Message, frozen=True):
+    """Changes or a part of a view, empty values in place of large ones."""
+
+    message: StoreChanges | ViewPart
+    values: tuple[LargeValue, ...]
+
+
+class FragmentRequest(Message, frozen=True):
+    """Request a fragment of a large value."""
+
+    digest: Digest
+    number: FragmentNumber
+
+
+class Fragment(Message, frozen=True):
+    """Fragment `number`, from 0, of a compressed large value."""
+
+    digest: Digest
+    number: FragmentNumber
+    data: Annotated[bytes, msgspec.Meta(max_length=60_000)]
+
+
 class ProofRequest(Message, frozen=True):
     """Ask as of when a host knows its configuration to be the newest."""
 
@@ -499,6 +537,9 @@
     | StoreChangesRequest
     | ViewRequest
     | ViewPart
+    | Outline
+    | FragmentRequest
+    | Fragment
     | ProofRequest
     | ProofReply
     | ServerReports
--- a/tests/contract/test_codec.py
+++ b/tests/contract/test_codec.py
@@ -1,5 +1,6 @@
 """Tests of the message codec: round trips and rejection of bad input."""
 
+import random
 import unittest
 import zlib
 
@@ -9,9 +10,11 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from cardamomdeal.fleet import fragments
 from cardamomdeal.protocol import codec
 from cardamomdeal.protocol import errors
 from cardamomdeal.protocol import messages
+from cardamomdeal.protocol import packing
 
 OFFER = messages.DocumentOffer(messages.Head(3, 'digest'), b'{}')
 REPORT = messages.EvidenceReport(
@@ -23,9 +26,25 @@
 )
 
 
+OUTLINE = messages.Outline(
+    messages.StoreChanges(
+        'entry-1', 2, 3, 0, (messages.StoreEntry('op/config', b'', 3),)
+    ),
+    (messages.LargeValue(0, b'd' * 32, 70_000),),
+)
+
+
 class CodecTest(unittest.TestCase):
     def test_messages_round_trip(self) -> None:
-        for message in (OFFER, REPORT, messages.StopGateway()):
+        fragment = messages.Fragment(b'd' * 32, 2, b'x' * 16_000)
+        for message in (
+            OFFER,
+            REPORT,
+            OUTLINE,
+            fragment,
+            messages.FragmentRequest(b'd' * 32, 2),
+            messages.StopGateway(),
+        ):
             with self.subTest(message=message):
                 decoded = codec.decode(codec.encode(message)).unwrap()
                 self.assertEqual(message, decoded)
@@ -81,6 +100,19 @@
         failure = codec.decode_compressed(data).failure()
         self.assertIsInstance(failure, errors.MessageTooLarge)
 
+    def test_invalid_fragments_are_rejected(self) -> None:
+        for message in (
+            messages.FragmentRequest(b'd' * 31, 0),
+            messages.FragmentRequest(b'd' * 32, -1),
+            messages.Fragment(b'd' * 32, 0, b'x' * 70_000),
+            messages.Outline(
+                OUTLINE.message, (messages.LargeValue(-1, b'd' * 32, 5),)
+            ),
+        ):
+            with self.subTest(message=message):
+                failed = codec.decode(codec.encode(message))
+                self.assertFalse(is_successful(failed))
+
     def test_damaged_compressed_message_is_rejected(self) -> None:
         data = codec.encode_compressed(
             messages.DocumentOffer(OFFER.head, b'{"name": 1}' * 1_000)
@@ -106,3 +138,26 @@
         index = data.draw(strategies.integers(0, len(encoded) - 1))
         encoded[index] ^= data.draw(strategies.integers(1, 255))
         codec.decode(bytes(encoded))
+
+
+class PackingTest(unittest.TestCase):
+    def test_largest_value_round_trips(self) -> None:
+        value = random.Random(1).randbytes(packing.MAX_VALUE_BYTES)
+        packed = packing.pack(value)
+        self.assertLess(len(packed.data), fragments.MAX_PACKED_BYTES)
+        self.assertEqual(value, packing.unpack(packed).unwrap())
+
+    def test_damaged_value_is_rejected(self) -> None:
+        packed = packing.pack(b'value' * 1_000)
+        for data in (packed.data[:-9], b'', b'y' + packed.data[1:]):
+            with self.subTest(data=data):
+                damaged = packing.PackedValue(packed.digest, data)
+                self.assertFalse(is_successful(packing.unpack(damaged)))
+        other = packing.PackedValue(b'd' * 32, packed.data)
+        self.assertFalse(is_successful(packing.unpack(other)))
+
+    def test_value_above_the_size_limit_is_rejected(self) -> None:
+        # Few fragments must not fill the memory.
+        packed = packing.pack(b'x' * 10 * packing.MAX_VALUE_BYTES)
+        failure = packing.unpack(packed).failure()
+        self.assertIsInstance(failure, errors.MessageTooLarge)
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -15,6 +15,7 @@
 from typing import Any
 import unittest
 from unittest import mock
+import zlib
 
 from cardamomdeal.channels import datagrams
 from cardamomdeal.channels import pacing
@@ -48,6 +49,12 @@
 DRAIN_MS = 2_000
 # A change must be in force everywhere within this time.
 IN_FORCE_MS = 2_500
+# The users allow 2 s, and 5 s more while the store turns hosts away. A
+# configuration of 300 KB takes half a second on half of a slow link.
+LARGE_IN_FORCE_MS = 7_000
+LARGE_ROUTES = 8_000
+LARGE_NAME_BITS = 256
+LARGE_MIN_BYTES = 300_000
 BOUNDS = settings_model.Bounds(
     drain_ms=2_500,
     stop_grace_ms=6_000,
@@ -59,10 +66,13 @@
 )
 
 
-def configuration(version: int, routes: int) -> bytes:
+def configuration(version: int, routes: int, name_bits: int = 40) -> bytes:
     """Return a stored configuration with random names."""
     rng = random.Random(7)
-    names = [f'{rng.getrandbits(40):010x}' for _ in range(routes)]
+    names = [
+        f'{rng.getrandbits(name_bits):0{name_bits // 4}x}'
+        for _ in range(routes)
+    ]
     table = {
         'columns': ['name', 'hostname', 'prefix', 'kind', 'service'],
         'rows': [
@@ -168,6 +178,9 @@
         self.received_bytes: collections.Counter[str] = collections.Counter()
         # Between data centres.
         self.remote_bytes = 0
+        # Share of the datagrams that are lost on their way.
+        self.lost_share = 0.0
+        self._rng = random.Random(1)
 
     def send(self, sender: 'Host', command: datagrams.SendTo) -> None:
         """Send a message to each target in the way of a datagram task."""
@@ -202,7 +215,8 @@
         self._link_free_at_ms[own] = free_at_ms
         self.sent_bytes += len(data)
         receiver = self.hosts.get(target)
-        if receiver is not None:
+        is_lost = self._rng.random() < self.lost_share
+        if receiver is not None and not is_lost:
             self._count(sender, receiver, len(data))
             message = codec.decode_compressed(data).unwrap()
             self._events.after(
@@ -363,14 +377,18 @@
         routes: int,
         settling_ms: int = SETTLING_MS,
         places: int = 1,
+        name_bits: int = 40,
     ) -> None:
         self.places = places
+        self.name_bits = name_bits
         self.events = Events()
         self.store = Store()
         self.network = Network(self.events)
         self.version = 1
         self.routes = routes
-        self.store.put(wire.CONFIGURATION_KEY, configuration(1, routes))
+        self.store.put(
+            wire.CONFIGURATION_KEY, configuration(1, routes, name_bits)
+        )
         for number in range(145):
             self.store.put(f'servers/i-{number}', _server(number))
         self.hosts = [
@@ -407,16 +425,19 @@
         self.version += 1
         self.changed_at_ms = self.events.clock.now_ms()
         self.store.put(
-            wire.CONFIGURATION_KEY, configuration(self.version, self.routes)
+            wire.CONFIGURATION_KEY,
+            configuration(self.version, self.routes, self.name_bits),
         )
 
-    def late_hosts(self, version: int) -> list[str]:
+    def late_hosts(
+        self, version: int, in_force_ms: int = IN_FORCE_MS
+    ) -> list[str]:
         """Return the hosts without the version in time."""
         return [
             host.entry.name
             for host in self.hosts
             if host.applied_at_ms.get(version, self.changed_at_ms + 10**9)
-            > self.changed_at_ms + IN_FORCE_MS
+            > self.changed_at_ms + in_force_ms
         ]
 
 
@@ -541,6 +562,85 @@
         self.assertEqual(fleet.hosts[0].servers, cut_host.servers)
 
 
+class LargeConfigurationTest(unittest.TestCase):
+    """The configuration fits no datagram; the store turns a third away.
+
+    Such a change was dropped, and with it each later one: these hosts routed
+    by the old configuration, to servers that had left, until the store served
+    them again.
+    """
+
+    def large_fleet(self, fast: int) -> Fleet:
+        fleet = Fleet(21, fast, LARGE_ROUTES, name_bits=LARGE_NAME_BITS)
+        value = fleet.store.items[wire.CONFIGURATION_KEY].value
+        self.assertGreater(len(zlib.compress(value)), LARGE_MIN_BYTES)
+        return fleet
+
+    def assert_changes_are_in_force(self, fleet: Fleet, server: str) -> None:
+        """Change the configuration, then remove a server."""
+        fleet.change_configuration()
+        fleet.events.run(100)
+        fleet.store.remove(f'servers/{server}')
+        fleet.events.run(LARGE_IN_FORCE_MS)
+        self.assertEqual(
+            [], fleet.late_hosts(fleet.version, LARGE_IN_FORCE_MS)
+        )
+        late = [h.entry.name for h in fleet.hosts if server in h.servers]
+        self.assertEqual([], late)
+
+    def test_changes_reach_hosts_that_are_turned_away(self) -> None:
+        for fast in (3, 0):
+            with self.subTest(fast=fast):
+                fleet = self.large_fleet(fast)
+                fleet.turn_away(fleet.hosts[2::3])
+                fleet.events.run(500)
+                self.assert_changes_are_in_force(fleet, 'i-7')
+                fleet.events.run(10_000)
+                self.assert_changes_are_in_force(fleet, 'i-8')
+
+    def test_several_changes_in_a_row(self) -> None:
+        fleet = self.large_fleet(3)
+        fleet.turn_away(fleet.hosts[2::3])
+        fleet.events.run(500)
+        for _ in range(3):
+            fleet.change_configuration()
+            fleet.events.run(500)
+        self.assert_changes_are_in_force(fleet, 'i-7')
+
+    def test_host_restarts_while_it_is_turned_away(self) -> None:
+        # A view without one of its parts was never complete.
+        for fast in (3, 0):
+            with self.subTest(fast=fast):
+                fleet = self.large_fleet(fast)
+                fleet.turn_away(fleet.hosts[2::3])
+                fleet.events.run(500)
+                restarted = fleet.restart(fleet.hosts[2])
+                fleet.changed_at_ms = fleet.events.clock.now_ms()
+                fleet.events.run(LARGE_IN_FORCE_MS)
+                late = fleet.late_hosts(1, LARGE_IN_FORCE_MS)
+                self.assertNotIn(restarted.entry.name, late)
+                self.assert_changes_are_in_force(fleet, 'i-7')
+
+    def test_lost_parts_are_made_good(self) -> None:
+        fleet = self.large_fleet(3)
+        fleet.turn_away(fleet.hosts[2::3])
+        fleet.events.run(500)
+        fleet.network.lost_share = 0.05
+        self.assert_changes_are_in_force(fleet, 'i-7')
+
+    def test_hosts_that_read_the_store_are_sent_no_values(self) -> None:
+        # Their links would be flooded with what they read anyway.
+        fleet = self.large_fleet(3)
+        fleet.turn_away(fleet.hosts[2::3])
+        fleet.events.run(500)
+        fleet.network.received_bytes.clear()
+        self.assert_changes_are_in_force(fleet, 'i-7')
+        for host in fleet.hosts:
+            if host.reaches_store:
+                received_bytes = fleet.network.received_bytes[host.entry.name]
+                self.assertLess(received_bytes, LARGE_MIN_BYTES / 2)
+
+
 class RestoredStoreTest(unittest.TestCase):
     """The store is restored while it turns some hosts away.
 
