Refuse parts of answers whose length has a corrupted name

Seen: where one byte of the name Content-Length is corrupted, the name may still be one, and the answer is one without a length that ends with its connection. A server in trouble that closed within the body gave a part of it as a complete 200. A colon in Transfer-Encoding hid the coding as well, and the caller got the chunks with their sizes.

The test of the running host was red before for all 18 answers, the contract test for the same.

Change: in a head that states neither a length nor a coding, a line that begins with one of the two names but for two bytes, or holds one behind the text of another field, makes the answer broken. Names that end with one of them behind a prefix (X-Content-Length) are other fields. Answers without a length are still delivered.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -208,7 +208,8 @@
     def begin(self) -> None:
         """Read the head; raise AnswerBroken if it is malformed."""
         super().begin()
-        response_head.check_lines(self.fp.end_head())
+        lines = self.fp.end_head()
+        response_head.check_lines(lines)
         response_head.check_status(self.status)
         self.framing = response_head.parse_framing(
             self.headers.get_all('Content-Length', ()),
@@ -219,6 +220,9 @@
                 response_head.check_values_without_framing(
                     self.headers.values()
                 )
+                response_head.check_lines_without_framing(
+                    response_head.final_head(lines)
+                )
 
     @property
     def has_body(self) -> bool:
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -25,6 +25,15 @@
 # A line that begins with a blank continues the field before it.
 _CONTINUATION = re.compile(rb'[ \t]+(' + _TEXT + rb')')
 _LENGTH = re.compile(r'[0-9]{1,18}')
+_FRAMING_FIELDS = (b'content-length:', b'transfer-encoding:')
+# Names that end with one of a framing field, such as X-Content-Length, are
+# used for other purposes.
+_LONGER_NAME = re.compile(rb'[a-z]+-(?:content-length|transfer-encoding):')
+_FRAMING_WITHIN_LINE = re.compile(
+    rb'(?<!-)(?:content-length|transfer-encoding):'
+)
+# Bytes changed, inserted or missing in a name that is recognised all the same.
+MAX_CORRUPTED_BYTES = 2
 _BLANKS = ' \t'
 
 
@@ -67,6 +76,15 @@
             has_field = True
 
 
+def final_head(lines: Sequence[bytes]) -> Sequence[bytes]:
+    """Return the lines of the last head, without the empty one."""
+    start = 0
+    for index, line in enumerate(lines[:-1], 1):
+        if line == LINE_END:
+            start = index
+    return lines[start:-1]
+
+
 def check_trailer(line: bytes) -> None:
     """Raise AnswerBroken unless the line is a trailer or ends them."""
     content = strip_line_end(line)
@@ -124,6 +142,19 @@
         )
 
 
+def check_lines_without_framing(lines: Sequence[bytes]) -> None:
+    """Raise AnswerBroken if a line is a corrupted framing field.
+
+    The lines are those of a head that states neither a length nor a coding.
+    A body that was cut would be delivered as complete.
+    """
+    for line in lines:
+        if _has_corrupted_framing(line.lower()):
+            raise errors.AnswerBroken(
+                f'{shorten(line)} resembles the length or the transfer coding'
+            )
+
+
 def shorten(text: str | bytes) -> str:
     """Return the start of a part of a response, quoted for an error."""
     return repr(text[:MAX_SHOWN_LENGTH])
@@ -162,3 +193,35 @@
 def _check_field(content: bytes) -> None:
     if not _FIELD_LINE.fullmatch(content):
         raise errors.AnswerBroken(f'{shorten(content)} is no header')
+
+
+def _has_corrupted_framing(line: bytes) -> bool:
+    if _LONGER_NAME.match(line):
+        return False
+    # The end of the line before it may be corrupted instead of its name.
+    return _FRAMING_WITHIN_LINE.search(line) is not None or any(
+        _starts_like(line, field) for field in _FRAMING_FIELDS
+    )
+
+
+def _starts_like(line: bytes, field: bytes) -> bool:
+    """Return whether a few edits turn a start of the line into the field."""
+    start = line[: len(field) + MAX_CORRUPTED_BYTES]
+    # Edits from each start of the field to the part of the line before.
+    distances = list(range(len(field) + 1))
+    fewest = distances[-1]
+    for count, byte in enumerate(start, 1):
+        previous = distances
+        distances = [count]
+        for index, expected in enumerate(field):
+            distances.append(
+                min(
+                    previous[index] + (byte != expected),
+                    previous[index + 1] + 1,
+                    distances[index] + 1,
+                )
+            )
+        fewest = min(fewest, distances[-1])
+        if min(distances) > MAX_CORRUPTED_BYTES:
+            break
+    return fewest <= MAX_CORRUPTED_BYTES
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -41,6 +41,39 @@
     b'Transfer-Encodin: chunked',
     b'T.ansfer-Encoding:\tChunked ',
 )
+# The name, or the end of the line before it, is corrupted, and the line can
+# still be a field.
+MISSPELT_LENGTHS = (
+    b'Xontent-Length: 4',
+    b'Content_Length: 4',
+    b'ontent-Length: 4',
+    b'CContent-Length: 4',
+    b'Content-Lengt: 4',
+    b'Content-Lengh: 4',
+    b'Content-Lenght: 4',
+    b'Content-Leng: 4',
+    b'Content:Length: 4',
+    b'Content-L:ength: 4',
+    b'X:ontent-Length: 4',
+    b'C.ntent-Leng~h: 4',
+    b'X: 1xxContent-Length: 4',
+    b'X: 1Content-Length: 4',
+    b'X: 1\r\n ontent-Length; 4',
+    # With a body that is not in chunks.
+    b'Transfer:Encoding: chunked',
+    b'Transfer-E:ncoding: chunked',
+    b'Xransfer-Encoding: xhunked',
+)
+# Other names of answers without a length.
+NAMES_LIKE_LENGTH = (
+    b'X-Content-Length: 4',
+    b'X-Original-Content-Length: 4',
+    b'Content-Language: en',
+    b'Content-Encoding: identity',
+    b'Content-Location: /',
+    b'Accept-Encoding: gzip',
+    b'Access-Control-Expose-Headers: Content-Length, Transfer-Encoding',
+)
 VALID_CODINGS = (
     b'Transfer-Encoding: chunked',
     b'transfer-encoding:\tChunked ',
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -80,6 +80,18 @@
                 broken_answers.answer(field, body=broken_answers.CHUNKED_BODY)
             )
 
+    def test_part_of_a_body_with_misspelt_length_is_refused(self):
+        for field in broken_answers.MISSPELT_LENGTHS:
+            self.assert_refused(broken_answers.answer(field, body=b'bo'))
+
+    def test_name_that_is_like_the_length_is_delivered(self):
+        for field in broken_answers.NAMES_LIKE_LENGTH:
+            opened = self.connect(broken_answers.answer(field))
+            with self.subTest(field=field):
+                self.assertEqual(
+                    (200, b'bodyMORE'), _exchange_buffered(opened, 'GET')
+                )
+
     def test_valid_length_is_read(self):
         for field in broken_answers.VALID_LENGTHS:
             self.assert_delivered(broken_answers.answer(field), 200, b'body')
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -57,6 +57,14 @@
             ]
         )
 
+    def test_parts_of_answers_with_misspelt_length_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(field, body=b'bo')
+                for field in broken_answers.MISSPELT_LENGTHS
+            ]
+        )
+
     def test_answers_with_malformed_lines_are_refused(self):
         self.assert_refused(
             [
