Refuse answers that go on behind the length they state

Seen: a length that is corrupted to a smaller number, an empty line within the head, and a body behind a 204 or 304 (which may be a 200 with a corrupted status) gave callers a part of the server's body as a complete answer. Only the connection was given up.

Change: what has arrived behind the end of an answer, unless it begins another answer, belongs to its body, and the answer is broken. A copy of an answer still leaves the one before it complete. Answers to HEAD are as before.

What arrives later than the end is read is not seen: a long body whose length is corrupted may still be cut.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -188,10 +188,10 @@
 
 
 class _LimitedResponse(http.client.HTTPResponse):
-    """Response that limits its time and size and detects trailing bytes."""
+    """Response that limits its time and size and keeps trailing bytes."""
 
-    # Whether bytes follow the response; they belong to no request.
-    has_trailing_bytes = False
+    # Start of the bytes that follow the response.
+    trailing_bytes = b''
 
     def __init__(
         self,
@@ -224,22 +224,27 @@
                     response_head.final_head(lines)
                 )
 
+    @property
+    def is_to_head(self) -> bool:
+        """Return whether the response is to a HEAD request."""
+        return self._method == 'HEAD'
+
     @property
     def has_body(self) -> bool:
         """Return whether a body follows the head."""
         return response_head.has_body(self._method, self.status)
 
     def _close_conn(self) -> None:
-        if self.fp is not None and not self.will_close:
-            self.has_trailing_bytes = self._has_unread_bytes()
+        if self.fp is not None:
+            self.trailing_bytes = self._unread_bytes()
         super()._close_conn()  # type: ignore[misc]
 
-    def _has_unread_bytes(self) -> bool:
+    def _unread_bytes(self) -> bytes:
         self.reader.disable_blocking()
         try:
-            return bool(self.fp.peek(1))
+            return self.fp.peek(1)
         except OSError:
-            return False
+            return b''
 
 
 class Response:
@@ -281,15 +286,22 @@
                 yield from self._received_body()
             else:
                 self._http_response.close()
+            self._check_end()
         except urllib3.exceptions.ReadTimeoutError as error:
             raise errors.AnswerTimedOut(str(error)) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise errors.AnswerBroken(str(error)) from error
         self._connection.reusable = not (
-            self._http_response.has_trailing_bytes
+            self._http_response.trailing_bytes
             or self._http_response.will_close
         )
 
+    def _check_end(self) -> None:
+        if not self._http_response.is_to_head:
+            response_head.check_trailing_bytes(
+                self._http_response.trailing_bytes
+            )
+
     def _received_body(self) -> Iterator[bytes]:
         reader = self._http_response.reader
         reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -21,6 +21,7 @@
 # library ends a line at a carriage return anywhere in it.
 _TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
 _STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [0-9]{3}(?: ' + _TEXT + rb')?')
+_RESPONSE_START = b'HTTP/'
 _FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT)
 # A line that begins with a blank continues the field before it.
 _CONTINUATION = re.compile(rb'[ \t]+(' + _TEXT + rb')')
@@ -155,6 +156,18 @@
             )
 
 
+def check_trailing_bytes(data: bytes) -> None:
+    """Raise AnswerBroken if the bytes after a response continue its body.
+
+    The length may be corrupted to a smaller one. A copy of a response that
+    follows belongs to no request, and leaves the one before it complete.
+    """
+    if not data.startswith(_RESPONSE_START[: len(data)]):
+        raise errors.AnswerBroken(
+            f'{shorten(data)} follows the end of the answer'
+        )
+
+
 def shorten(text: str | bytes) -> str:
     """Return the start of a part of a response, quoted for an error."""
     return repr(text[:MAX_SHOWN_LENGTH])
