Refuse an answer 204 that states a body

Seen: a 200 or a failure (404, 304) whose status is corrupted to 204 came as a 204 without a body, a success that the server had not given, where the body had not arrived yet.

Cause: the library takes the status for the end of the answer and does not look at what the head states.

Change: a 204 with a length above zero or a transfer coding, which RFC 9110 (8.6) and RFC 9112 (6.1) forbid, is broken. A length of zero, which servers send although it is forbidden as well, is accepted. A 304 states the length of another body and passes.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -215,6 +215,7 @@
             self.headers.get_all('Content-Length', ()),
             self.headers.get_all('Transfer-Encoding', ()),
         )
+        response_head.check_body_is_allowed(self.status, self.framing)
         match self.framing:
             case response_head.UntilClose():
                 response_head.check_values_without_framing(
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -16,7 +16,8 @@
 LINE_END = b'\r\n'
 # Interim responses (1xx) precede a final one.
 FINAL_STATUSES = range(200, 600)
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
+NO_CONTENT_STATUS = 204
+STATUSES_WITHOUT_BODY = frozenset({NO_CONTENT_STATUS, 304})
 # Text of reason phrases and values: no control characters but tabs. The
 # library ends a line at a carriage return anywhere in it.
 _TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
@@ -107,6 +108,19 @@
         raise errors.AnswerBroken(f'{status} is no status of an answer')
 
 
+def check_body_is_allowed(status: int, framing: Framing) -> None:
+    """Raise AnswerBroken if a status without a body states one.
+
+    The status may be a corrupted one, and its body has not been read. A 304
+    states the length of the body that it stands for.
+    """
+    match framing:
+        case FixedLength(0) | UntilClose():
+            pass
+        case _ if status == NO_CONTENT_STATUS:
+            raise errors.AnswerBroken(f'an answer {status} states a body')
+
+
 def has_body(method: str, status: int) -> bool:
     """Return whether a body follows the head, whatever its fields state."""
     return method != 'HEAD' and status not in STATUSES_WITHOUT_BODY
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -73,6 +73,17 @@
             ]
         )
 
+    def test_answers_without_content_that_state_a_body_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(field, b'HTTP/1.1 204 OK', b'')
+                for field in (
+                    b'Content-Length: 4',
+                    b'Transfer-Encoding: chunked',
+                )
+            ]
+        )
+
     def test_answers_with_malformed_lines_are_refused(self):
         self.assert_refused(
             [
