Refuse a part of an answer whose server closed during the upload

Seen: a server answers a long upload at once with a 200 without a length, sends part of its body and closes or aborts its connection while the upload is being written. Where the end of the connection arrives before the reset, the part came as a complete answer.

Cause: the kernel reports no reset behind an end, and the host stopped sending when the answer arrived, so that nothing made the server's machine reset the connection.

Change: at the end of a connection the host sends one more byte of an upload that is not complete. If the connection is closed in both directions then, or within 100 ms while bytes of the request are not acknowledged, the answer is broken. A server that ends its answer and reads on is heard as before.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -3,13 +3,17 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import contextlib
 import dataclasses
+import fcntl
 import functools
 import http.client
 import io
 import re
 import select
 import socket
+import sys
+import termios
 from typing import Any
 from typing import Protocol
 
@@ -35,6 +39,9 @@
 CHUNK_BYTES = 64 * 1024
 MIN_SOCKET_TIMEOUT_MS = 1
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=([0-9]{1,6})\b')
+# A server that has closed its connection resets it when more of the request
+# arrives, one round trip between data centres later at most.
+RESET_WAIT_MS = 100
 # Limit of a response's head, with the interim responses before it.
 MAX_HEAD_BYTES = 128 * 1024
 # Bytes received for one chunk of a body: the sizes and extensions of chunks
@@ -114,12 +121,18 @@
         self._max_bytes = MAX_HEAD_BYTES
         self._received_bytes = 0
         self._is_blocking = True
+        # Bytes of the request that were not sent before the response came.
+        self._unsent = memoryview(b'')
 
     def set_max_bytes(self, max_bytes: int) -> None:
         """Limit the number of bytes received from now on."""
         self._max_bytes = max_bytes
         self._received_bytes = 0
 
+    def expect_reset(self, unsent: memoryview) -> None:
+        """Expect a reset when more of the request is sent behind the end."""
+        self._unsent = unsent
+
     def disable_blocking(self) -> None:
         """Return only bytes that have already arrived from now on."""
         self._is_blocking = False
@@ -135,6 +148,8 @@
             return self._stream.readinto(buffer)
         self._socket.settimeout(self._limit.timeout_s(self._time.now_ms()))
         count = self._stream.readinto(buffer) or 0
+        if not count and self._was_reset():
+            raise errors.AnswerBroken('the connection was reset')
         self._received_bytes += count
         if self._received_bytes > self._max_bytes:
             raise errors.AnswerBroken(
@@ -142,6 +157,24 @@
             )
         return count
 
+    def _was_reset(self) -> bool:
+        """Return whether the connection is closed in both directions.
+
+        The kernel reports a reset only once, and not at all behind an end.
+        """
+        poller = select.poll()
+        # Errors and the end of both directions are always reported.
+        poller.register(self._socket, 0)
+        self._socket.settimeout(0)
+        with contextlib.suppress(OSError):
+            self._socket.send(self._unsent[:1])
+        wait_ms = RESET_WAIT_MS if self._unacknowledged_bytes() else 0
+        return bool(poller.poll(wait_ms))
+
+    def _unacknowledged_bytes(self) -> int:
+        data = fcntl.ioctl(self._socket, termios.TIOCOUTQ, bytes(4))
+        return int.from_bytes(data, sys.byteorder)
+
     def close(self) -> None:
         """Close the stream."""
         self._stream.close()
@@ -280,6 +313,10 @@
         """Prevent the connection from being reused after this response."""
         self._http_response.will_close = True
 
+    def expect_reset(self, unsent: memoryview) -> None:
+        """Detect a server that has closed without reading the request."""
+        self._http_response.reader.expect_reset(unsent)
+
     def body(self) -> Iterator[bytes]:
         """Yield the body; raise ExchangeBroken if it is incomplete."""
         try:
@@ -414,15 +451,15 @@
         self.reusable = False
         self.apply_time_limit(limit)
         was_reset = False
+        unsent = memoryview(b'')
         try:
             self._send_head(request)
-            sent_completely = self._send_body(request.body, limit, watcher)
+            unsent = self._send_body(request.body, limit, watcher)
         except TimeoutError as error:
             raise errors.AnswerTimedOut(str(error)) from error
         except (BrokenPipeError, ConnectionResetError):
             # The server may have responded before it had read the whole
             # request; that response can still be read.
-            sent_completely = False
             was_reset = True
         except (http.client.HTTPException, OSError, ValueError) as error:
             raise errors.ExchangeBroken(str(error)) from error
@@ -438,8 +475,9 @@
             # the server had closed the connection.
             self._check_end_is_stated(response)
         self._record_keep_alive(response)
-        if not sent_completely:
+        if unsent or was_reset:
             response.prevent_reuse()
+        response.expect_reset(unsent)
         return response
 
     def close(self) -> None:
@@ -468,25 +506,26 @@
         body: body_buffer.Body,
         limit: TimeLimit,
         watcher: DisconnectWatcher | None,
-    ) -> bool:
-        """Send a body; return False if the server responds before its end."""
-        return all(
-            self._send_part(part, limit, watcher) for part in body.parts
-        )
+    ) -> memoryview:
+        """Send a body; return what is left if the server responds before."""
+        for part in body.parts:
+            if unsent := self._send_part(part, limit, watcher):
+                return unsent
+        return memoryview(b'')
 
     def _send_part(
         self, part: bytes, limit: TimeLimit, watcher: DisconnectWatcher | None
-    ) -> bool:
+    ) -> memoryview:
         unsent = memoryview(part)
         while unsent:
             events = self._wait_for_events(
                 select.POLLIN | select.POLLOUT, limit, watcher
             )
             if events & select.POLLIN:
-                return False
+                break
             self.apply_time_limit(limit)
             unsent = unsent[self._http.sock.send(unsent[:CHUNK_BYTES]) :]
-        return True
+        return unsent
 
     def _wait_for_response(
         self, limit: TimeLimit, watcher: DisconnectWatcher | None
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -5,6 +5,7 @@
 meant, so the caller got a success with a body that was not the server's.
 """
 
+import contextlib
 import socket
 import unittest
 
@@ -21,7 +22,7 @@
 REQUEST_ID = 'r1'
 ID_HEADER = 'Request-Id'
 SHOWN_BYTES = 120
-UPLOAD_BYTES = 256 * 1024
+UPLOAD_BYTES = 16 * 1024 * 1024
 # Less than an upload of this size takes.
 CLOCK_READINGS = 10
 NO_CONTENT = b'HTTP/1.1 204 No Content'
@@ -305,8 +306,9 @@
     The caller got the part of the body that had arrived as a whole answer.
     """
 
-    def exchange(self, reset_at_reading):
+    def exchange(self, reset_at_reading, interrupt=None):
         """Upload, with the reset at the given reading of the clock."""
+        interrupt = interrupt or self._answer_part
         with socket.create_server(('127.0.0.1', 0)) as listener:
             time = _InterruptingClock(reset_at_reading)
             opened = connection.BackendConnection(
@@ -315,7 +317,7 @@
             self.addCleanup(opened.close)
             accepted, _ = listener.accept()
         self.addCleanup(accepted.close)
-        time.interruption = lambda: self._answer_part(accepted)
+        time.interruption = lambda: interrupt(accepted)
         request = connection.BufferedRequest(
             'POST',
             '/',
@@ -345,6 +347,32 @@
                 self.exchange(reading)
 
 
+class ClosedDuringUploadTest(ResetDuringUploadTest):
+    """A server closes its connection before the upload ends.
+
+    The end arrives before the reset, and a part looked like a whole answer.
+    """
+
+    def _answer_part(self, accepted):
+        accepted.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while accepted.recv(UPLOAD_BYTES):
+                pass
+        accepted.setblocking(True)
+        accepted.sendall(broken_answers.answer(b'X: 1', body=b'part'))
+        accepted.close()
+
+    def _answer_before_reading(self, accepted):
+        accepted.sendall(broken_answers.answer(b'X: 1'))
+        accepted.shutdown(socket.SHUT_WR)
+
+    def test_answer_of_a_server_that_reads_on_is_complete(self):
+        for reading in range(1, 1 + CLOCK_READINGS):
+            with self.subTest(answered_at_reading=reading):
+                body = self.exchange(reading, self._answer_before_reading)
+                self.assertEqual(b'body', b''.join(body.parts))
+
+
 class _InterruptingClock(clock.Clock):
     """Clock at one of whose readings the thread is interrupted."""
 
