Refuse a success whose reason is that of a failure

Seen: a server answers with a failure, the first digit of whose status is corrupted to that of a success: "200 Internal Server Error", "204 Not Found". The caller got a success that the server had not given.

Change: a 2xx whose reason phrase is, apart from case, exactly the standard one of a status that is no 2xx is broken. Other reason phrases say nothing, as before.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -244,6 +244,7 @@
         lines = self.fp.end_head()
         response_head.check_lines(lines)
         response_head.check_status(self.status)
+        response_head.check_reason(self.status, self.reason)
         self.framing = response_head.parse_framing(
             self.headers.get_all('Content-Length', ()),
             self.headers.get_all('Transfer-Encoding', ()),
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import http
 import re
 
 from cardamomdeal.backend import errors
@@ -16,6 +17,12 @@
 LINE_END = b'\r\n'
 # Interim responses (1xx) precede a final one.
 FINAL_STATUSES = range(200, 600)
+SUCCESS_STATUSES = range(200, 300)
+_FAILURES = frozenset(
+    status.phrase.lower()
+    for status in http.HTTPStatus
+    if status not in SUCCESS_STATUSES
+)
 NO_CONTENT_STATUS = 204
 STATUSES_WITHOUT_BODY = frozenset({NO_CONTENT_STATUS, 304})
 # Text of reason phrases and values: no control characters but tabs. The
@@ -108,6 +115,17 @@
         raise errors.AnswerBroken(f'{status} is no status of an answer')
 
 
+def check_reason(status: int, reason: str) -> None:
+    """Raise AnswerBroken if the reason of a success is that of a failure.
+
+    The first digit of the status may be corrupted.
+    """
+    if status in SUCCESS_STATUSES and reason.strip().lower() in _FAILURES:
+        raise errors.AnswerBroken(
+            f'an answer {status} has the reason {shorten(reason)}'
+        )
+
+
 def check_body_is_allowed(status: int, framing: Framing) -> None:
     """Raise AnswerBroken if a status without a body states one.
 
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -185,6 +185,16 @@
     b'HTTP/1.1x 200 OK',
     b'HTTP/1.1\x00 200 OK',
 )
+# The first digit of the status of a failure is corrupted.
+FAILURES_AS_SUCCESSES = (
+    b'HTTP/1.1 200 Internal Server Error',
+    b'HTTP/1.1 200 internal server error',
+    b'HTTP/1.1 203 Service Unavailable',
+    b'HTTP/1.1 204 Not Found',
+    b'HTTP/1.1 204 Gateway Timeout',
+    b'HTTP/1.1 202 Bad Gateway',
+    b'HTTP/1.1 204 Not Modified',
+)
 # Values with bytes that no value may hold.
 MALFORMED_VALUES = (
     b'X: 1\rContent-Length: 2',
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -203,6 +203,22 @@
                 broken_answers.answer(b'Content-Length: 4', line)
             )
 
+    def test_success_with_the_reason_of_a_failure_is_refused(self):
+        for line in broken_answers.FAILURES_AS_SUCCESSES:
+            self.assert_refused(
+                broken_answers.answer(b'Content-Length: 0', line, b'')
+            )
+
+    def test_other_reasons_of_a_success_are_delivered(self):
+        for reason in (b'Found 3 of 4', b'No Content', b'Not Found here'):
+            self.assert_delivered(
+                broken_answers.answer(
+                    b'Content-Length: 4', b'HTTP/1.1 200 ' + reason
+                ),
+                200,
+                b'body',
+            )
+
     def test_reason_phrase_is_optional(self):
         for reason in (b'', b' ', b' OK', b' \xc3\x85\tOK'):
             for status in (200, 418, 599):
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -116,6 +116,14 @@
             ]
         )
 
+    def test_failures_with_the_status_of_a_success_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(b'Content-Length: 0', line, b'')
+                for line in broken_answers.FAILURES_AS_SUCCESSES
+            ]
+        )
+
     def test_answers_with_malformed_values_are_refused(self):
         self.assert_refused(
             [
