Refuse answers whose head is cut by an empty line before the length

Seen: an empty line within the head ends it. Where the line with the length follows, the answer had none, and the caller got the rest of the head with the body as a complete 200.

Change: a body whose answer states no length is refused if it begins with fields, one of them a length or a transfer coding, and an empty line. Bodies that begin with a status line, a boundary or other fields are delivered.

Left: an empty line within a field (two line ends in place of none) leaves a rest that begins with no field, and the rest of a head without a length cannot be told from a body.

--- a/src/cardamomdeal/backend/connection.py
+++ b/src/cardamomdeal/backend/connection.py
@@ -344,7 +344,11 @@
     def _received_body(self) -> Iterator[bytes]:
         reader = self._http_response.reader
         reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
-        for chunk in self._raw.stream(CHUNK_BYTES, decode_content=False):
+        chunks = self._raw.stream(CHUNK_BYTES, decode_content=False)
+        match self._http_response.framing:
+            case response_head.UntilClose():
+                chunks = _with_checked_start(chunks)
+        for chunk in chunks:
             yield chunk
             reader.set_max_bytes(MAX_BYTES_PER_CHUNK)
 
@@ -369,6 +373,13 @@
             yield chunk
 
 
+def _with_checked_start(chunks: Iterator[bytes]) -> Iterator[bytes]:
+    start = next(chunks, b'')
+    response_head.check_start_of_body(start)
+    yield start
+    yield from chunks
+
+
 def _check_body_size(size_bytes: int) -> None:
     if size_bytes > MAX_BUFFERED_BODY_BYTES:
         raise errors.AnswerBroken(
--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -188,6 +188,22 @@
             )
 
 
+def check_start_of_body(data: bytes) -> None:
+    """Raise AnswerBroken if a body begins with the rest of a head.
+
+    The body is one whose head states neither a length nor a coding, since an
+    empty line cut it off.
+    """
+    rest_of_head, end, _ = data.partition(LINE_END + LINE_END)
+    lines = rest_of_head.split(LINE_END)
+    if (
+        end
+        and all(_FIELD_LINE.fullmatch(line) for line in lines)
+        and any(line.lower().startswith(_FRAMING_FIELDS) for line in lines)
+    ):
+        raise errors.AnswerBroken('an empty line is within the head')
+
+
 def check_trailing_bytes(data: bytes) -> None:
     """Raise AnswerBroken if the bytes after a response continue its body.
 
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -74,6 +74,22 @@
     (b'Content-Length: 4\r\n', b'X: 1\r\n\r\nbody'),
     (b'Transfer-Encoding: chunked', b'4\r\nbody\r\n0\r\n\r\nMORE'),
 )
+# Bodies before which an empty line cuts off the rest of a head.
+CUT_OFF_HEADS = (
+    b'Content-Length: 4\r\n\r\nbody',
+    b'X: 1\r\nContent-Length: 4\r\n\r\nbody',
+    b'content-length:4\r\nX: 1\r\n\r\nbody',
+    b'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n',
+)
+# Bodies of answers without a length that resemble heads.
+BODIES_LIKE_HEADS = (
+    b'Content-Length: 4',
+    b'Content-Length: 4\r\nbody',
+    b'Content-Type: text/plain\r\n\r\nbody',
+    b'--x\r\nContent-Length: 4\r\n\r\nbody\r\n--x--\r\n',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody',
+    b'\r\n\r\nContent-Length: 4\r\n\r\n',
+)
 # Other names of answers without a length.
 NAMES_LIKE_LENGTH = (
     b'X-Content-Length: 4',
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -100,6 +100,18 @@
         for field, body in broken_answers.EXCEEDED_LENGTHS:
             self.assert_refused(broken_answers.answer(field, body=body))
 
+    def test_answer_with_an_empty_line_in_its_head_is_refused(self):
+        for body in broken_answers.CUT_OFF_HEADS:
+            self.assert_refused(broken_answers.answer(b'X: 1', body=body))
+
+    def test_body_that_is_like_a_head_is_delivered(self):
+        for body in broken_answers.BODIES_LIKE_HEADS:
+            opened = self.connect(broken_answers.answer(b'X: 1', body=body))
+            with self.subTest(body=body):
+                self.assertEqual(
+                    (200, body), _exchange_buffered(opened, 'GET')
+                )
+
     def test_copy_behind_an_answer_does_not_continue_it(self):
         answer = broken_answers.answer(b'Content-Length: 4')
         for copy_bytes in (1, 5, len(answer)):
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -84,6 +84,14 @@
             ]
         )
 
+    def test_answers_with_an_empty_line_in_their_head_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(b'X: 1', body=body)
+                for body in broken_answers.CUT_OFF_HEADS
+            ]
+        )
+
     def test_answers_with_malformed_lines_are_refused(self):
         self.assert_refused(
             [
