--- a/tests/entry_case.py
+++ b/tests/entry_case.py
@@ -84,15 +84,19 @@
         if self.mode == 'fail':
             start_response('500 Internal Server Error', headers)
             return [b'failed']
-        time.sleep(_stated_work_s(environ) or self.latency_s)
+        if answer_bytes := _stated(environ, 'answer'):
+            start_response('200 OK', headers)
+            return [bytes(answer_bytes)]
+        work_ms = _stated(environ, 'work')
+        time.sleep(work_ms / 1000 if work_ms else self.latency_s)
         start_response('200 OK', headers)
         return [f'answer to {request_id}'.encode()]
 
 
-def _stated_work_s(environ):
-    """Return the time of `?work=MILLISECONDS`, or None."""
-    _, _, work_ms = environ['QUERY_STRING'].partition('work=')
-    return int(work_ms) / 1000 if work_ms else None
+def _stated(environ, name):
+    """Return the number of `?NAME=NUMBER`, or None."""
+    _, _, number = environ['QUERY_STRING'].partition(f'{name}=')
+    return int(number) if number else None
 
 
 class FaultyBackend:
@@ -172,6 +176,7 @@
 
     # Settings besides those that every deployment has.
     BOUNDS = {}
+    SETTINGS = {}
 
     def setUp(self):
         self.store_port = fleet.free_port()
@@ -271,6 +276,7 @@
                 'capacity_floor': 0.7,
                 **self.BOUNDS,
             },
+            **self.SETTINGS,
         }
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
