Free what a closed connection held at once

Cause: closing a connection returned its reservation to the budget and kept the bytes. The HTTP library caches two methods on each connection, which refer back to it, so the connection was part of a cycle and stayed until a full garbage collection, which many large bodies do not hasten.

Change: the connection gives up its bytes when it is closed, and has no such caches, so it is freed with its last reference.

--- a/src/cardamomdeal/internal/polled_connection.py
+++ b/src/cardamomdeal/internal/polled_connection.py
@@ -91,6 +91,10 @@
         makefile: Any = cheroot_makefile.MakeFile,
     ) -> None:
         super().__init__(server, sock, makefile)
+        # The library's caches refer back to the connection, so that it would
+        # keep what it holds until the garbage collector runs.
+        del self.resolve_peer_creds
+        del self.get_peer_creds
         sock.setblocking(False)
         self._time = clock.Clock()
         self._intake = request_intake.RequestIntake(server.budget)
--- a/src/cardamomdeal/internal/request_intake.py
+++ b/src/cardamomdeal/internal/request_intake.py
@@ -255,7 +255,10 @@
         self._reservation.reduce_to(self._received_bytes)
 
     def release(self) -> None:
-        """Release all memory when the connection is closed."""
+        """Give up all that was received, and release its memory."""
+        self._head.clear()
+        self._received = body_buffer.BodyBuffer()
+        self._rest = b''
         self._reservation.reduce_to(0)
 
     def take(self, now_ms: int, limits: Limits) -> ReceivedRequest:
