Let the allocator have two arenas

Hosts held more than their memory beside large bodies, although the budget counted what the bodies took.

Cause: the C library gives almost each thread an arena, and each keeps what its threads have freed. A host serves with up to 128 threads.

--- a/src/cardamomdeal/entry/main.py
+++ b/src/cardamomdeal/entry/main.py
@@ -67,7 +67,7 @@
     log_writer = logs.configure_non_blocking(
         settings.name, settings.place, settings.telemetry.log_level
     )
-    allocator.return_large_blocks()
+    allocator.limit_kept_memory()
     exit_code = process.run(PROGRAM, lambda: _serve(path, settings))
     pykka.ActorRegistry.stop_all(block=False)
     _exit_within(EXIT_MARGIN_MS, exit_code)
