Count the reserve for small bodies within the budget

Cause: the reserve for small bodies came on top of the share of the memory for bodies: 84 MB and 17 MB, beside the 47 MB of the program. On the smallest machines that left nothing for the rest.

Change: the share, now 0.56, holds the reserve too. With 0.55 the largest body would not fit such a machine.

--- a/src/cardamomdeal/entry/server.py
+++ b/src/cardamomdeal/entry/server.py
@@ -46,9 +46,10 @@
 # request takes some time to arrive.
 IDLE_MARGIN_MS = 2_000
 MAX_IDLE_CONNECTIONS = 3_000
-# Share of the process's memory for bodies; the rest is for the program, its
-# threads, its view of the fleet and idle connections.
-BODIES_MEMORY_SHARE = 0.55
+# Share of the process's memory for bodies, with the reserve for small ones;
+# the rest is for the program, its threads, its view of the fleet and idle
+# connections.
+BODIES_MEMORY_SHARE = 0.56
 # Another host is likely to have room at once.
 NO_MEMORY_RETRY_AFTER_MS = 200
 
@@ -223,6 +224,7 @@
     server.gateway = _SocketGateway
     server.budget = memory_budget.MemoryBudget(
         round(settings.memory_mb * 1_000_000 * BODIES_MEMORY_SHARE)
+        - memory_budget.SMALL_BODIES_RESERVE_BYTES
     )
     server.keep_alive_disabled = application.keep_alive_disabled
     server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
