Serve the largest request at the smallest idle host

Change: while all others together hold less than a sixteenth of the budget, a body may take what is left. Others then have the reserve for small bodies.

--- a/src/cardamomdeal/internal/memory_budget.py
+++ b/src/cardamomdeal/internal/memory_budget.py
@@ -8,6 +8,9 @@
 # A larger body may take up to this multiple of what is still free. So there is
 # always room for others, however many bodies without an end arrive.
 MAX_SHARE_OF_FREE = 2
+# While all others together hold less than this share of the budget, a body
+# may take what is left: the largest one must be served by an idle host.
+MAX_SHARE_OF_OTHERS = 1 / 16
 
 
 class MemoryBudget:
@@ -18,6 +21,7 @@
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
+        self._max_others_bytes = round(MAX_SHARE_OF_OTHERS * limit_bytes)
         self._held_bytes = 0
         self._lock = threading.Lock()
 
@@ -31,12 +35,13 @@
         with self._lock:
             held_bytes = self._held_bytes + added_bytes
             free_bytes = self.limit_bytes - held_bytes
-            if own_bytes + added_bytes <= SMALL_BODY_BYTES:
+            own_bytes += added_bytes
+            if own_bytes <= SMALL_BODY_BYTES:
                 is_allowed = free_bytes + SMALL_BODIES_RESERVE_BYTES >= 0
+            elif held_bytes - own_bytes < self._max_others_bytes:
+                is_allowed = free_bytes >= 0
             else:
-                is_allowed = (
-                    own_bytes + added_bytes <= MAX_SHARE_OF_FREE * free_bytes
-                )
+                is_allowed = own_bytes <= MAX_SHARE_OF_FREE * free_bytes
             if is_allowed:
                 self._held_bytes = held_bytes
             return is_allowed
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -25,6 +25,19 @@
     def test_upload_of_the_largest_size_fits(self):
         self.assertTrue(self.reserve(64 * MIB)[1])
 
+    def test_upload_of_the_largest_size_fits_the_smallest_machine(self):
+        # It took more than twice what it would have left free.
+        self.budget = memory_budget.MemoryBudget(68_000_000)
+        self.assertTrue(self.reserve(MIB // 2)[1])
+        upload = memory_budget.Reservation(self.budget)
+        for _ in range(64):
+            self.assertTrue(upload.try_add(MIB))
+        # Others find room: that of the reserve, and as much as it has ended.
+        self.assertTrue(self.reserve(200 * 1024)[1])
+        self.assertFalse(self.reserve(MIB)[1])
+        upload.reduce_to(0)
+        self.assertTrue(self.reserve(MIB)[1])
+
     def test_uploads_are_refused_before_they_exceed_the_limit(self):
         accepted = sum(self.reserve(60 * MIB)[1] for _ in range(8))
         self.assertEqual(2, accepted)
