Pass parts of bodies on without a copy

Beside many bodies of 250 KB a host held more than it counted.

Cause: the application copied each body that was received in 64 KiB pieces into another buffer, and what it had read of a part was freed only with the whole part: a body of up to 256 KiB was held two to three times, in up to 64 threads at once, and counted once.

Change: the body begins with a part of its own, whole parts are passed on as they are, and a buffer copies nothing as long as it was given one piece.

--- a/src/cardamomdeal/entry/caller.py
+++ b/src/cardamomdeal/entry/caller.py
@@ -26,7 +26,6 @@
 ENVIRON_IS_KEY_REPEATED = 'cardamomdeal.is_key_repeated'
 ENVIRON_ARRIVED_KEY = 'cardamomdeal.arrived_at_ms'
 ENVIRON_REQUEST_ID_KEY = 'HTTP_' + wire.REQUEST_ID.upper().replace('-', '_')
-CHUNK_BYTES = 64 * 1024
 
 
 class BodyMemory:
@@ -249,7 +248,7 @@
     received_bytes = 0
     while True:
         try:
-            chunk = body_stream.read(CHUNK_BYTES)
+            chunk = body_stream.read(body_buffer.PART_BYTES)
         except request_intake.RequestCut as cut:
             raise _body_error(cut.reason) from cut
         except (OSError, ValueError) as error:
--- a/src/cardamomdeal/internal/body_buffer.py
+++ b/src/cardamomdeal/internal/body_buffer.py
@@ -25,7 +25,7 @@
 
     def __init__(self) -> None:
         self._parts: list[bytes] = []
-        self._last_part = bytearray()
+        self._last_part: bytes | bytearray = b''
 
     @property
     def is_empty(self) -> bool:
@@ -35,21 +35,25 @@
     def write(self, data: bytes) -> int:
         """Append some bytes."""
         if len(self._last_part) + len(data) > PART_BYTES:
-            self._end_part()
-        if len(data) >= PART_BYTES:
-            self._parts.append(bytes(data))
+            self.end_part()
+        if not self._last_part:
+            # A body that arrives at once is not copied.
+            self._last_part = data
         else:
+            if isinstance(self._last_part, bytes):
+                self._last_part = bytearray(self._last_part)
             self._last_part += data
         return len(data)
 
-    def _end_part(self) -> None:
+    def end_part(self) -> None:
+        """Begin a new part with what is appended next."""
         if self._last_part:
             self._parts.append(bytes(self._last_part))
-            self._last_part.clear()
+            self._last_part = b''
 
     def body(self) -> Body:
         """Return what was appended."""
-        self._end_part()
+        self.end_part()
         return Body(tuple(self._parts))
 
 
--- a/src/cardamomdeal/internal/request_intake.py
+++ b/src/cardamomdeal/internal/request_intake.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 import re
 
@@ -138,17 +139,18 @@
         return bool(self._parts)
 
     def read(self, size: int | None = None) -> bytes:
-        """Return up to `size` bytes; raise RequestCut behind the last."""
-        chunks = []
-        missing_bytes = size
-        while self._parts and missing_bytes != 0:
-            chunk = self._read_from_part(missing_bytes)
-            chunks.append(chunk)
-            if missing_bytes is not None:
-                missing_bytes -= len(chunk)
-        if not chunks and size != 0:
+        """Return up to `size` bytes; raise RequestCut behind the last.
+
+        With a size, what is returned comes from one part: whole parts are
+        passed on without a copy.
+        """
+        if size is None:
+            data = b''.join(self._read_parts())
+        else:
+            data = self._read_from_part(size) if self._parts and size else b''
+        if not data and size != 0:
             self._check_end()
-        return b''.join(chunks)
+        return data
 
     def readline(self, size: int | None = None) -> bytes:
         """Return a line, or `size` bytes of it; raise RequestCut."""
@@ -168,10 +170,13 @@
     def close(self) -> None:
         """Do nothing; the connection is closed by its owner."""
 
-    def _read_from_part(self, size: int | None) -> bytes:
+    def _read_parts(self) -> Iterator[bytes]:
+        while self._parts:
+            yield self._read_from_part(len(self._parts[0]))
+
+    def _read_from_part(self, size: int) -> bytes:
         part = self._parts[0]
-        end = len(part) if size is None else self._offset + size
-        chunk = part[self._offset : end]
+        chunk = part[self._offset : self._offset + size]
         self._offset += len(chunk)
         if self._offset == len(part):
             # What was read is not held twice.
@@ -315,6 +320,8 @@
         behind = bytes(self._head[size_bytes:])
         self._head.clear()
         self._received.write(head)
+        # Parts of the body can then be passed on as they are.
+        self._received.end_part()
         self._expects_continue = (
             HTTP_1_1_LINE.match(head) is not None
             and EXPECT_FIELD.search(head) is not None
