Map blocks from 32 KiB on one by one

With 1,000 connections that were refused or stalled, and stayed open, a host of 152 MB reached 156 MB, of which the budget counted 85.

Cause, from a trial that read the allocator's figures beside the budget: at the peak its heap held 23 MB that were free, between blocks in use. Each body begins in blocks below 128 KiB, in the heap, and goes on in mapped ones.

--- a/src/cardamomdeal/internal/allocator.py
+++ b/src/cardamomdeal/internal/allocator.py
@@ -7,7 +7,7 @@
 M_MMAP_THRESHOLD = -3
 M_ARENA_MAX = -8
 # Larger blocks are mapped one by one, and returned when they are freed.
-MAPPED_BLOCK_BYTES = 128 * 1024
+MAPPED_BLOCK_BYTES = 32 * 1024
 # Each arena keeps what its threads have freed.
 MAX_ARENAS = 2
 
