Bound what the auxiliary servers of a host hold

Clients that stop just short of the end of their bodies took a host of 152 MB to 203 MB, when they came to its servers for readiness, addresses and metrics too.

Cause: each of these servers has a budget of 1 MiB, but the reserve for small bodies was 16 MiB for every budget: 51 MiB beside the callers' share.

Change: a budget has its own reserve, 1 MiB at these servers. The last eighth of a reserve is for requests of up to 4 KiB, so that those without a body find room beside many small bodies.

--- a/src/cardamomdeal/internal/memory_budget.py
+++ b/src/cardamomdeal/internal/memory_budget.py
@@ -5,6 +5,9 @@
 # A body up to this size is held whatever others take, up to the reserve.
 SMALL_BODY_BYTES = 256 * 1024
 SMALL_BODIES_RESERVE_BYTES = 16 * 1024**2
+# Requests without a body find room beside many small ones.
+TINY_BODY_BYTES = 4 * 1024
+TINY_SHARE_OF_RESERVE = 1 / 8
 # A larger body may take up to this multiple of what is still free. So there is
 # always room for others, however many bodies without an end arrive.
 MAX_SHARE_OF_FREE = 2
@@ -19,8 +22,17 @@
     Many threads read bodies, so it is guarded by a lock.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(
+        self,
+        limit_bytes: int,
+        reserve_bytes: int = SMALL_BODIES_RESERVE_BYTES,
+    ) -> None:
         self.limit_bytes = limit_bytes
+        # What small and tiny bodies may take beyond the limit.
+        self._tiny_reserve_bytes = reserve_bytes
+        self._small_reserve_bytes = round(
+            reserve_bytes * (1 - TINY_SHARE_OF_RESERVE)
+        )
         self._max_others_bytes = round(MAX_SHARE_OF_OTHERS * limit_bytes)
         self._held_bytes = 0
         self._lock = threading.Lock()
@@ -36,8 +48,10 @@
             held_bytes = self._held_bytes + added_bytes
             free_bytes = self.limit_bytes - held_bytes
             own_bytes += added_bytes
-            if own_bytes <= SMALL_BODY_BYTES:
-                is_allowed = free_bytes + SMALL_BODIES_RESERVE_BYTES >= 0
+            if own_bytes <= TINY_BODY_BYTES:
+                is_allowed = free_bytes + self._tiny_reserve_bytes >= 0
+            elif own_bytes <= SMALL_BODY_BYTES:
+                is_allowed = free_bytes + self._small_reserve_bytes >= 0
             elif held_bytes - own_bytes < self._max_others_bytes:
                 is_allowed = free_bytes >= 0
             else:
--- a/src/cardamomdeal/internal/polled_server.py
+++ b/src/cardamomdeal/internal/polled_server.py
@@ -34,6 +34,7 @@
     max_head_bytes=16 * 1024, max_body_bytes=64 * 1024
 )
 DEFAULT_MEMORY_BYTES = 1024**2
+DEFAULT_RESERVE_BYTES = 1024**2
 # Share of the memory for bodies that clients without progress may hold.
 SLOW_CLIENTS_SHARE = 0.5
 DEFAULT_HEADER_TIMEOUT_S = 10.0
@@ -267,7 +268,9 @@
         super().__init__((listen.host, listen.port), application, **options)
         self.gateway = http_server.Gateway
         self.max_request_header_size = self.intake_limits.max_head_bytes
-        self.budget = memory_budget.MemoryBudget(DEFAULT_MEMORY_BYTES)
+        self.budget = memory_budget.MemoryBudget(
+            DEFAULT_MEMORY_BYTES, DEFAULT_RESERVE_BYTES
+        )
         self.requests = _ConnectionWorkers(self, threads)
         self._stopping = threading.Event()
         self.closing = closing_task.ClosingTask()
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -49,6 +49,19 @@
         accepted = [self.reserve(200 * 1024)[1] for _ in range(64)]
         self.assertTrue(all(accepted))
 
+    def test_requests_without_a_body_fit_beside_small_bodies(self):
+        # A crowd of small bodies filled the reserve, so that every other
+        # request was refused.
+        reserve_bytes = MIB
+        self.budget = memory_budget.MemoryBudget(MIB, reserve_bytes)
+        while self.reserve(64 * 1024)[1]:
+            pass
+        accepted = [self.reserve(400)[1] for _ in range(200)]
+        self.assertTrue(all(accepted))
+        while self.reserve(400)[1]:
+            pass
+        self.assertLessEqual(self.budget.held_bytes, MIB + reserve_bytes)
+
     def test_endless_bodies_leave_room_for_others(self):
         endless = [memory_budget.Reservation(self.budget) for _ in range(64)]
         for _ in range(400):
