Receive requests at a directory like at a host

A directory process reached 363 MB by two heads without end, 379 MB by three requests whose trailers or lines between chunks had no end, 452 MB by one body of 200 MiB; and 100 bodies that stop short of their end kept it from answering any lookup for 20 s and more.

Cause: it served with the library's server as it is. That has no limit for heads, lines between chunks and bodies unless it is told one, reads the rest of an unread body into memory, and takes a thread, of four, for a connection that does not send.

Change: it uses the server of the host's own auxiliary services, with their limits of 16 KiB for a head and 64 KiB for a body. That server closed the connection without a response if a refused body was read; it sends 413, 503 or 408 now.

The contract test of the refusals failed before.

--- a/src/cardamomdeal/directory/main.py
+++ b/src/cardamomdeal/directory/main.py
@@ -3,20 +3,23 @@
 import logging
 import sys
 
-from cheroot import wsgi
 import pykka
 
 from cardamomdeal.directory import address_resolver
 from cardamomdeal.directory import application
+from cardamomdeal.internal import allocator
 from cardamomdeal.internal import clock
+from cardamomdeal.internal import polled_server
 from cardamomdeal.internal import process
 from cardamomdeal.internal import serving
+from cardamomdeal.internal import thread_pool
 from cardamomdeal.settings import load
 from cardamomdeal.settings import model
 from cardamomdeal.telemetry import logs
 
 PROGRAM = 'cardamomdeal-directory'
-THREADS = 4
+THREADS = thread_pool.PoolSettings('lookups', max_threads=4, max_queued=256)
+MAX_UNACCEPTED_CONNECTIONS = 256
 
 log = logging.getLogger(__name__)
 
@@ -31,17 +34,18 @@
 
 def _run(settings: model.DirectorySettings) -> None:
     logs.configure(settings.name, settings.place, settings.telemetry.log_level)
+    allocator.limit_kept_memory()
     stop = process.stop_event()
     resolver_ref = address_resolver.AddressResolver.start(
         settings, clock.Clock()
     )
     try:
         server_task = serving.ServerTask(
-            wsgi.Server(
-                (settings.listen.host, settings.listen.port),
+            polled_server.PolledServer(
+                settings.listen,
                 application.Application(resolver_ref),
-                numthreads=THREADS,
-                max=THREADS,
+                thread_pool.ElasticThreadPool(THREADS),
+                request_queue_size=MAX_UNACCEPTED_CONNECTIONS,
             )
         )
         server_task.start()
--- a/src/cardamomdeal/internal/http_json.py
+++ b/src/cardamomdeal/internal/http_json.py
@@ -34,8 +34,8 @@
         method=environ['REQUEST_METHOD'],
         path=environ['PATH_INFO'],
         query=dict(parse.parse_qsl(environ.get('QUERY_STRING', ''))),
-        body=environ['wsgi.input'].read(
-            int(environ.get('CONTENT_LENGTH') or 0)
+        body=_read_body(
+            environ['wsgi.input'], int(environ.get('CONTENT_LENGTH') or 0)
         ),
     )
 
@@ -56,3 +56,14 @@
         ],
     )
     return [body]
+
+
+def _read_body(stream: Any, size_bytes: int) -> bytes:
+    body = b''
+    # Each part is read by itself.
+    while len(body) < size_bytes:
+        part = stream.read(size_bytes - len(body))
+        if not part:
+            break
+        body += part
+    return body
--- a/src/cardamomdeal/internal/polled_connection.py
+++ b/src/cardamomdeal/internal/polled_connection.py
@@ -25,6 +25,7 @@
 REQUEST_TIMEOUT_STATUS = '408 Request Timeout'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 NO_MEMORY_STATUS = '503 Service Unavailable'
+TOO_LARGE_STATUS = '413 Request Entity Too Large'
 
 log = logging.getLogger(__name__)
 
@@ -328,6 +329,9 @@
             request = self.parse(buffered)
             if request.ready:
                 request.respond()
+        except request_intake.RequestCut as cut:
+            if not request.sent_headers:
+                request.simple_response(_cut_status(cut.reason))
         finally:
             received.reservation.reduce_to(0)
         self.send(buffered.wfile.body().parts)
@@ -342,3 +346,13 @@
         self._intake.release()
         self.discard_unsent()
         super().close()
+
+
+def _cut_status(reason: request_intake.CutReason) -> str:
+    match reason:
+        case request_intake.TooLarge():
+            return TOO_LARGE_STATUS
+        case request_intake.NoMemory():
+            return NO_MEMORY_STATUS
+        case _:
+            return REQUEST_TIMEOUT_STATUS
--- a/tests/contract/test_request_bodies.py
+++ b/tests/contract/test_request_bodies.py
@@ -13,6 +13,7 @@
 
 from cardamomdeal.internal import address
 from cardamomdeal.internal import chunked_body
+from cardamomdeal.internal import memory_budget
 from cardamomdeal.internal import polled_server
 from cardamomdeal.internal import serving
 from cardamomdeal.internal import thread_pool
@@ -32,7 +33,7 @@
         self.threads = thread_pool.ElasticThreadPool(
             thread_pool.PoolSettings('test', MAX_THREADS, max_queued=2)
         )
-        server = polled_server.PolledServer(
+        server = self.server = polled_server.PolledServer(
             address.Address('127.0.0.1', 0),
             self.serve,
             self.threads,
@@ -75,6 +76,16 @@
             for connection in opened:
                 self.assertEqual(OK, self.exchange(connection, request))
 
+    def test_refusals_of_bodies_say_why(self):
+        # The connection was closed without a response.
+        request = HEAD + b'Content-Length: 9999999\r\n\r\n'
+        status = self.exchange(self.connect(), request)
+        self.assertEqual(b'HTTP/1.1 413', status[:12])
+        self.server.budget = memory_budget.MemoryBudget(0, 0)
+        request = HEAD + b'Content-Length: 9999\r\n\r\n'
+        status = self.exchange(self.connect(), request)
+        self.assertEqual(b'HTTP/1.1 503', status[:12])
+
     def test_unread_chunks_are_not_taken_for_a_request(self):
         self.reads_body = False
         opened = self.connect()
