--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -116,6 +116,11 @@
                 self.assertEqual(b''.join(chunks), b''.join(body.parts))
                 self.assertEqual(sum(sizes), body.size_bytes)
 
+    def test_body_in_one_piece_is_not_copied(self):
+        # Each copy of a small body was held beside it, and not counted.
+        data = bytes(1_000)
+        self.assertIs(data, body_buffer.collect([data]).parts[0])
+
     def test_tiny_chunks_are_joined(self):
         # An object of its own for each byte takes dozens of bytes.
         body = body_buffer.collect([b'x'] * 2 * body_buffer.PART_BYTES)
--- a/tests/unit/test_request_intake.py
+++ b/tests/unit/test_request_intake.py
@@ -49,6 +49,17 @@
                 )
                 self.assertEqual(0, self.budget.held_bytes)
 
+    def test_parts_of_a_body_are_read_without_a_copy(self):
+        length = b'Content-Length: 900\r\n\r\n'
+        self.add(HEAD + length)
+        data = bytes(900)
+        self.add(data)
+        request = self.take()
+        for _ in range(4):
+            request.readline()
+        self.assertIs(data, request.read(10_000))
+        request.reservation.reduce_to(0)
+
     def test_progress_tells_since_when_a_client_is_slow(self):
         self.assertEqual(
             request_intake.PartOfHead(5), self.add(HEAD[:9], now_ms=5)
