Refuse a head in the place of a body whose length is not stated

Seen: a server sends a head within another one, or two of them. Where the first states no length, the caller got the second head with its body as the body.

Red before at a running host for 3 of 3 answers and in 3 of 3 buffered exchanges.

Change: a body without a stated length that begins with a status line, fields and an empty line is refused like one that begins with the rest of a head. The list of bodies that look like heads, added with that check, held one such body as delivered; it holds near ones in its place.

--- a/src/cardamomdeal/backend/response_head.py
+++ b/src/cardamomdeal/backend/response_head.py
@@ -189,19 +189,24 @@
 
 
 def check_start_of_body(data: bytes) -> None:
-    """Raise AnswerBroken if a body begins with the rest of a head.
+    """Raise AnswerBroken if a body begins with a head or the rest of one.
 
     The body is one whose head states neither a length nor a coding, since an
-    empty line cut it off.
+    empty line or another head cut it off.
     """
-    rest_of_head, end, _ = data.partition(LINE_END + LINE_END)
-    lines = rest_of_head.split(LINE_END)
+    start, end, _ = data.partition(LINE_END + LINE_END)
+    lines = start.split(LINE_END)
+    has_status_line = _STATUS_LINE.fullmatch(lines[0]) is not None
+    fields = lines[1:] if has_status_line else lines
+    has_framing = any(
+        line.lower().startswith(_FRAMING_FIELDS) for line in fields
+    )
     if (
         end
-        and all(_FIELD_LINE.fullmatch(line) for line in lines)
-        and any(line.lower().startswith(_FRAMING_FIELDS) for line in lines)
+        and (has_status_line or has_framing)
+        and all(_FIELD_LINE.fullmatch(line) for line in fields)
     ):
-        raise errors.AnswerBroken('an empty line is within the head')
+        raise errors.AnswerBroken('an empty line or a head is within the head')
 
 
 def check_trailing_bytes(data: bytes) -> None:
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -81,13 +81,21 @@
     b'content-length:4\r\nX: 1\r\n\r\nbody',
     b'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n',
 )
+# Bodies that are answers of their own, behind a head without a length.
+SECOND_HEADS = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\r\nX: 1\r\n\r\nbody',
+    b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody',
+)
 # Bodies of answers without a length that resemble heads.
 BODIES_LIKE_HEADS = (
     b'Content-Length: 4',
     b'Content-Length: 4\r\nbody',
     b'Content-Type: text/plain\r\n\r\nbody',
     b'--x\r\nContent-Length: 4\r\n\r\nbody\r\n--x--\r\n',
-    b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody',
+    b'HTTP/1.1 200 OK\r\nbody\r\n\r\n',
+    b'HTTP/1.1 200 OK',
+    b'GET / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody',
     b'\r\n\r\nContent-Length: 4\r\n\r\n',
 )
 # Other names of answers without a length.
--- a/tests/contract/test_broken_answers.py
+++ b/tests/contract/test_broken_answers.py
@@ -104,6 +104,10 @@
         for body in broken_answers.CUT_OFF_HEADS:
             self.assert_refused(broken_answers.answer(b'X: 1', body=body))
 
+    def test_answer_with_two_heads_is_refused(self):
+        for body in broken_answers.SECOND_HEADS:
+            self.assert_refused(broken_answers.answer(b'X: 1', body=body))
+
     def test_body_that_is_like_a_head_is_delivered(self):
         for body in broken_answers.BODIES_LIKE_HEADS:
             opened = self.connect(broken_answers.answer(b'X: 1', body=body))
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -92,6 +92,14 @@
             ]
         )
 
+    def test_answers_with_two_heads_are_refused(self):
+        self.assert_refused(
+            [
+                broken_answers.answer(b'X: 1', body=body)
+                for body in broken_answers.SECOND_HEADS
+            ]
+        )
+
     def test_answers_with_malformed_lines_are_refused(self):
         self.assert_refused(
             [
