Cut a long pause short when other hosts have read new changes

A host that the store served again after an outage routed by an old configuration for up to 3.9 s more, although other hosts told it that they had read a newer one.

Cause: pauses after failed calls grow to 3 s, times 0.7 to 1.3, and the follower waited each one out in one piece, deaf to messages.

Evidence: test_long_pause_ends_when_the_maximum_falls and test_no_long_delay_while_others_have_read_changes failed before: the follower made its next calls 3 s apart, and the synchronizer left the maximum at 3,000 ms where 1,500 are meant.

Change: while a host lacks changes that others have read, the maximum is the first delay, 1.5 s (at most 1.95 s with its random factor). The follower waits in steps of 100 ms, as it does between successful calls, and reckons its pause by the delays in force. A store that refuses all is called as rarely as before.

test_pauses_after_failed_calls_grow_up_to_their_maximum counted waits, one for each pause, so it could not be kept with waits in steps. It now takes the times between calls, in simulated time, against the same pauses and margins, and passes on the code before and after.

Result: the 26 tests of the schedule and the 7 of the follower pass, and those of revocation, reports, registration and a restored store.

--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -195,6 +195,9 @@
             )
         retry_delay_ms = NON_READER_RETRY_DELAY_MS
         max_retry_delay_ms = NON_READER_MAX_RETRY_DELAY_MS
+        if self._freshness.lacks_changes:
+            # The store serves other hosts, so it may serve this one.
+            max_retry_delay_ms = NON_READER_RETRY_DELAY_MS
         if self._store_readers.is_preferred_reader() or not self._is_ready():
             retry_delay_ms = max_retry_delay_ms = READER_RETRY_DELAY_MS
         self._tasks.follower.tell(
@@ -293,12 +296,17 @@
             self._freshness.record_restore()
             self._update_store_reading()
         elif revision > self._state.revision:
-            self._freshness.record_missing_changes(now_ms)
+            self._record_missing_changes(now_ms)
             self._request_changes(sender, now_ms)
         elif revision == self._state.revision:
             self._end_outage(now_ms)
             self._freshness.confirm(now_ms - age_ms)
 
+    def _record_missing_changes(self, now_ms: int) -> None:
+        if not self._freshness.lacks_changes:
+            self._freshness.record_missing_changes(now_ms)
+            self._update_store_reading()
+
     def _handle_peer_changes(
         self,
         sender: address.Address,
@@ -325,7 +333,7 @@
             case protocol.StoreChanges(_, after_revision, revision):
                 if self._state.is_empty or revision <= self._state.revision:
                     return
-                self._freshness.record_missing_changes(now_ms)
+                self._record_missing_changes(now_ms)
                 if after_revision > self._state.revision:
                     self._request_changes(sender, now_ms)
                     return
--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -50,6 +50,9 @@
         self._retry_delay_ms = 0
         self._max_retry_delay_ms = 0
         self._failure_count = 0
+        self._failed_at_ms = 0
+        # Factor of the delay after the last failed call.
+        self._jitter = 1.0
         self._call_interval_ms = 0
         self._is_urgent = False
         self._wait_event = threading.Event()
@@ -93,13 +96,13 @@
             # An idle connection may die without a sign before it is needed.
             self._client.reconnect()
             return
-        remaining_ms = (
-            self._last_call_at_ms
-            + self._call_interval_ms
-            - self._time.now_ms()
+        next_call_at_ms = max(
+            self._last_call_at_ms + self._call_interval_ms,
+            self._failed_at_ms + self._retry_pause_ms(),
         )
+        remaining_ms = next_call_at_ms - self._time.now_ms()
         if remaining_ms > 0:
-            # Meanwhile the interval may change, or others read for this host.
+            # Meanwhile the delays may change, or others read for this host.
             clock.wait_ms(
                 self._wait_event, min(remaining_ms, MAX_WAIT_STEP_MS)
             )
@@ -120,16 +123,22 @@
                 self._last_call_at_ms = 0
             case Failure(error):
                 self._synchronizer.tell(messages.StoreFailed(str(error)))
-                clock.wait_ms(self._wait_event, self._next_retry_delay_ms())
+                self._failure_count = min(
+                    self._failure_count + 1, MAX_DOUBLINGS
+                )
+                self._failed_at_ms = self._time.now_ms()
+                self._jitter = self._rng.uniform(0.7, 1.3)
         self.actor_ref.tell(messages.PollStore())
 
-    def _next_retry_delay_ms(self) -> int:
-        delay_ms = self._retry_delay_ms * 2**self._failure_count
+    def _retry_pause_ms(self) -> int:
+        """Return the pause after a failed call, by the present delays."""
+        if not self._failure_count:
+            return 0
+        delay_ms = self._retry_delay_ms * 2 ** (self._failure_count - 1)
         delay_ms = max(
             self._retry_delay_ms, min(delay_ms, self._max_retry_delay_ms)
         )
-        self._failure_count = min(self._failure_count + 1, MAX_DOUBLINGS)
-        return round(self._rng.uniform(0.7, 1.3) * delay_ms)
+        return round(self._jitter * delay_ms)
 
     def _read_store_safely(self) -> Any:
         # Polling ends for good if the poll raises an exception.
--- a/src/cardamomdeal/fleet/freshness.py
+++ b/src/cardamomdeal/fleet/freshness.py
@@ -60,6 +60,11 @@
         self._missing_changes_since_ms = None
         self._is_outdated = False
 
+    @property
+    def lacks_changes(self) -> bool:
+        """Return whether other hosts have read changes that this one lacks."""
+        return self._missing_changes_since_ms is not None
+
     @property
     def was_confirmed(self) -> bool:
         """Return whether the view has ever been complete."""
--- a/tests/contract/test_store_follower.py
+++ b/tests/contract/test_store_follower.py
@@ -1,5 +1,6 @@
 """Tests of the store follower against a stand-in for the store."""
 
+import itertools
 import logging
 import time
 import unittest
@@ -68,6 +69,66 @@
         return super().range(prefix, stale)
 
 
+class PausesTest(unittest.TestCase):
+    """Pauses of a follower whose calls fail, in simulated time."""
+
+    def setUp(self):
+        self.clock = clock.ManualClock(1_000_000)
+        self.client = mock.Mock(spec=store.StoreClient)
+        self.called_at_ms = []
+        self.client.range.side_effect = self.call
+        self.client.watch.side_effect = self.call
+        self.answers = []
+        self.follower = store_follower.StoreFollower(
+            mock.Mock(), self.client, self.clock
+        )
+        self.enterContext(
+            mock.patch.object(
+                clock,
+                'wait_ms',
+                lambda _, delay_ms: self.clock.advance(delay_ms),
+            )
+        )
+
+    def call(self, *_):
+        self.called_at_ms.append(self.clock.now_ms())
+        if self.answers:
+            return self.answers.pop(0)
+        return Failure(errors.PlatformUnavailable('503'))
+
+    def poll_until_called(self, times):
+        while len(self.called_at_ms) < times:
+            self.follower.receive(messages.PollStore())
+
+    def assert_pauses(self, expected_ms):
+        pauses_ms = [
+            after - before
+            for before, after in itertools.pairwise(self.called_at_ms)
+        ]
+        self.assertEqual(len(expected_ms), len(pauses_ms))
+        for expected, pause in zip(expected_ms, pauses_ms, strict=True):
+            self.assertAlmostEqual(expected, pause, delta=0.31 * expected)
+
+    def test_pauses_after_failed_calls_grow_up_to_their_maximum(self):
+        # In an outage each host called the store as often as at its start.
+        self.follower.receive(messages.FollowStore(True, 1_000, 0, 3_000))
+        self.poll_until_called(5)
+        self.answers.append(Success(store.Range((), 1)))
+        self.poll_until_called(8)
+        self.assert_pauses((1_000, 2_000, 3_000, 3_000, 3_000, 0, 1_000))
+
+    def test_long_pause_ends_when_the_maximum_falls(self):
+        # A host went on waiting for up to 3.9 s although others had told it
+        # that the store serves them.
+        self.follower.receive(messages.FollowStore(True, 1_000, 0, 3_000))
+        self.poll_until_called(5)
+        for _ in range(3):
+            self.follower.receive(messages.PollStore())
+        self.follower.receive(messages.FollowStore(True, 1_000, 0, 1_000))
+        self.poll_until_called(7)
+        self.assert_pauses((1_000, 2_000, 3_000, 3_000, 1_000, 1_000))
+
+
 class StoreFollowerTest(unittest.TestCase):
     """Simulate the start of a fleet: all hosts are published at once."""
 
@@ -177,30 +238,6 @@
         follower.receive(messages.PollStore())
         self.assertEqual(2, client.range.call_count)
 
-    def test_pauses_after_failed_calls_grow_up_to_their_maximum(self):
-        # In an outage each host called the store as often as at its start.
-        client = mock.Mock(spec=store.StoreClient)
-        client.range.return_value = Failure(errors.PlatformUnavailable('503'))
-        waited_ms = []
-        follower = store_follower.StoreFollower(
-            mock.Mock(), client, clock.Clock()
-        )
-        with mock.patch.object(
-            clock, 'wait_ms', lambda _, delay_ms: waited_ms.append(delay_ms)
-        ):
-            follower.receive(messages.FollowStore(True, 1_000, 0, 3_000))
-            for _ in range(5):
-                follower.receive(messages.PollStore())
-            client.range.return_value = Success(store.Range((), 1))
-            follower.receive(messages.PollStore())
-            client.watch.return_value = client.range.return_value
-            client.watch.return_value = Failure(errors.PlatformError('x'))
-            follower.receive(messages.PollStore())
-        expected_ms = (1_000, 2_000, 3_000, 3_000, 3_000, 1_000)
-        self.assertEqual(len(expected_ms), len(waited_ms))
-        for expected, waited in zip(expected_ms, waited_ms, strict=True):
-            self.assertAlmostEqual(expected, waited, delta=0.31 * expected)
-
     def wait_until_all_reported(self):
         self.wait_until_reported(HOSTS)
 
--- a/tests/history/test_changes_reach_hosts.py
+++ b/tests/history/test_changes_reach_hosts.py
@@ -250,6 +250,7 @@
         self._should_read = False
         self._is_calling = False
         self._call_interval_ms = WATCH_INTERVAL_MS
+        self.max_retry_delay_ms = 0
         own = address.Address(f'10.0.{number // 250}.{number % 250}', 7_200)
         name = f'host-{number}'
         self.place = f'a-{number % fleet.places}'
@@ -294,8 +295,11 @@
                 self.applied_at_ms[table.version] = now_ms
             case messages.ServersUpdated(servers, _):
                 self.servers = {server.server_id for server in servers}
-            case messages.FollowStore(should_read, _, call_interval_ms, _):
+            case messages.FollowStore(
+                should_read, _, call_interval_ms, max_retry_delay_ms
+            ):
                 self._should_read = should_read
+                self.max_retry_delay_ms = max_retry_delay_ms
                 self._call_interval_ms = call_interval_ms
                 if should_read and not self._is_calling:
                     self._is_calling = True
@@ -641,6 +645,54 @@
                 self.assertLess(received_bytes, LARGE_MIN_BYTES / 2)
 
 
+class RetryDelayTest(unittest.TestCase):
+    """The store serves a host again after an outage.
+
+    The host went on waiting for up to 3.9 s although other hosts told it of
+    changes that they had read, and routed by the old configuration meanwhile.
+    """
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(20, 2, 10)
+        for host in self.fleet.hosts:
+            host.reaches_store = False
+        self.fleet.events.run(SETTLING_MS)
+        self.host = self.fleet.hosts[12]
+
+    def hear_progress(self, revision: int) -> None:
+        self.host.arrival(
+            self.fleet.hosts[0].entry.peers,
+            protocol.StoreProgress('host-0', revision, 50),
+        )()
+
+    def test_long_delay_in_an_outage(self) -> None:
+        # Calls of all hosts would only add load to a failing store.
+        self.assertEqual(
+            fleet_synchronizer.NON_READER_MAX_RETRY_DELAY_MS,
+            self.host.max_retry_delay_ms,
+        )
+
+    def test_no_long_delay_while_others_have_read_changes(self) -> None:
+        self.hear_progress(self.fleet.store.revision + 1)
+        self.assertEqual(
+            fleet_synchronizer.NON_READER_RETRY_DELAY_MS,
+            self.host.max_retry_delay_ms,
+        )
+
+    def test_long_delay_once_the_changes_have_come(self) -> None:
+        self.hear_progress(self.fleet.store.revision + 1)
+        revision = self.fleet.store.revision
+        self.host.arrival(
+            self.fleet.hosts[0].entry.peers,
+            protocol.StoreChanges('host-0', revision, revision + 1, 50, ()),
+        )()
+        self.fleet.events.run(fleet_synchronizer.TICK_INTERVAL_MS)
+        self.assertEqual(
+            fleet_synchronizer.NON_READER_MAX_RETRY_DELAY_MS,
+            self.host.max_retry_delay_ms,
+        )
+
+
 class RestoredStoreTest(unittest.TestCase):
     """The store is restored while it turns some hosts away.
 
