--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -169,6 +169,12 @@
         self.restore(self.copied())
         self.assertEqual((), self.state.servers())
 
+    def test_entry_written_before_the_copy_was_read_is_used(self):
+        self.state.apply(store.Removal(KEY, 6), LEFT_AT_MS)
+        written = store.Item(KEY, entry(), revisions.pack(1, 3))
+        self.restore(written, number=5)
+        self.assertEqual(['i-1'], self.ready_servers())
+
     def test_departures_are_forgotten(self):
         known = departures.Departures(HEARTBEAT_MS)
         (server,) = self.state.servers()
