--- a/src/cardamomdeal/platform/store.py
+++ b/src/cardamomdeal/platform/store.py
@@ -23,8 +23,8 @@
 # The store responds to a watch when its wait expires; the call fails if
 # there is still no response this much later.
 WATCH_TIMEOUT_MARGIN_MS = 400
-# The era rises by one at each restore; a host may miss a few.
-MAX_ERA_STEP = 10
+# The era rises by one at each restore; a host may miss one or two.
+MAX_ERA_STEP = 3
 
 _PATH_PREFIX = '/cardamomdeal/'
 
