Tell an entry written since a restore from one of the copy

A server that a host had seen leave, and whose owner wrote its entry again after a restore but before the host read the copy, was held back for 6.5 s; after an outage in which all entries expired, that could be every server of a service.

Cause: all that the host's first read showed counted as the copy's.

Change: the copy holds the last ready entry that the host saw, or an earlier one, so an entry with a higher number was written since.

An entry whose last ready form was itself written in the lost time may still be held.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -107,7 +107,7 @@
             return
         match entries.read_server(server_id, item.value):
             case Success(server):
-                self._departures.forget(server)
+                self._departures.record_ready(server, item.revision)
                 self._servers.put(server_id, server)
                 _log_server(server_id, 'no longer held back', item.revision)
 
--- a/src/cardamomdeal/fleet/departures.py
+++ b/src/cardamomdeal/fleet/departures.py
@@ -4,7 +4,10 @@
 or the expiry of the entries remove them again, some heartbeats later.
 """
 
+import dataclasses
+
 from cardamomdeal.fleet import model
+from cardamomdeal.fleet import revisions
 
 # The copy is some seconds old.
 REMEMBERED_MS = 60_000
@@ -14,27 +17,44 @@
 REWRITE_MS = 2_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """When a server left, and the number of its last ready entry before."""
+
+    at_ms: int
+    ready_number: int
+
+
 class Departures:
     """Servers that have left lately, and those held back after a restore."""
 
     def __init__(self, heartbeat_ms: int) -> None:
         self._hold_ms = EXPIRY_HEARTBEATS * heartbeat_ms + REWRITE_MS
-        # Times of the departures, the oldest first.
-        self._left_at_ms: dict[model.Incarnation, int] = {}
+        # Numbers of the revisions of servers that are ready.
+        self._ready_numbers: dict[model.Incarnation, int] = {}
+        # The oldest departure first.
+        self._departures: dict[model.Incarnation, Departure] = {}
         # Ends of the holds by server ID.
         self._held_until_ms: dict[str, int] = {}
         self._restored_revision = 0
 
     def record(self, server: model.BackendServer, now_ms: int) -> None:
         """Record that a server is leaving or gone."""
-        self._left_at_ms.pop(server.incarnation, None)
-        self._left_at_ms[server.incarnation] = now_ms
+        incarnation = server.incarnation
+        earlier = self._departures.pop(incarnation, None)
+        self._departures[incarnation] = Departure(
+            now_ms,
+            self._ready_numbers.pop(
+                incarnation,
+                earlier.ready_number if earlier else revisions.MAX_NUMBER,
+            ),
+        )
         self._held_until_ms.pop(server.server_id, None)
-        while self._left_at_ms:
-            oldest = next(iter(self._left_at_ms))
-            if now_ms - self._left_at_ms[oldest] <= REMEMBERED_MS:
+        while self._departures:
+            oldest = next(iter(self._departures))
+            if now_ms - self._departures[oldest].at_ms <= REMEMBERED_MS:
                 break
-            del self._left_at_ms[oldest]
+            del self._departures[oldest]
 
     def record_restore(self, revision: int) -> None:
         """Record the revision at which a restored store was read."""
@@ -46,13 +66,15 @@
         """Return whether a ready server's entry is that of an older copy.
 
         An entry that was written since the restore counts, as does one that
-        has outlived the time in which it would have expired.
+        has outlived the time in which it would have expired. The copy holds
+        the last ready entry before the departure, or an earlier one.
         """
-        left_at_ms = self._left_at_ms.get(server.incarnation)
+        departure = self._departures.get(server.incarnation)
         is_held = (
-            left_at_ms is not None
-            and now_ms - left_at_ms <= REMEMBERED_MS
+            departure is not None
+            and now_ms - departure.at_ms <= REMEMBERED_MS
             and revision <= self._restored_revision
+            and revisions.number(revision) <= departure.ready_number
         )
         if is_held:
             # Several complete reads may bring the same entry.
@@ -60,12 +82,13 @@
                 server.server_id, now_ms + self._hold_ms
             )
         else:
-            self.forget(server)
+            self.record_ready(server, revision)
         return is_held
 
-    def forget(self, server: model.BackendServer) -> None:
-        """Record that a server is in use again."""
-        self._left_at_ms.pop(server.incarnation, None)
+    def record_ready(self, server: model.BackendServer, revision: int) -> None:
+        """Record that a server is in use, by the entry of a revision."""
+        self._ready_numbers[server.incarnation] = revisions.number(revision)
+        self._departures.pop(server.incarnation, None)
         self._held_until_ms.pop(server.server_id, None)
 
     def release(self, server_id: str) -> None:
