Begin the grace after a restore when a host hears of it

A server that went just after a restore was retained for 1.5 s from each host's own read of the copy, which is later than the readers'.

Change: a host notes when another one first tells of a later era, and what the copy lacks is retained from then on.

--- a/src/cardamomdeal/entry/fleet_state.py
+++ b/src/cardamomdeal/entry/fleet_state.py
@@ -37,6 +37,8 @@
         )
         self._hosts: registry.Registry[model.EntryHost] = registry.Registry()
         self._departures = departures.Departures(heartbeat_ms)
+        # First revision of a newer era that another host told of, and when.
+        self._heard_restore: tuple[int, int] | None = None
         self._removed_hosts: set[str] = set()
         self._items: dict[str, store.Item] = {}
 
@@ -153,7 +155,7 @@
             if key in keys or key == wire.CONFIGURATION_KEY:
                 continue
             if is_restored:
-                self._retain(key, now_ms)
+                self._retain(key, self._restored_at_ms(revision, now_ms))
             else:
                 self.apply(store.Removal(key, revision), now_ms)
         if wire.CONFIGURATION_KEY not in keys and self.configuration_revision:
@@ -161,6 +163,20 @@
         for item in items:
             self.apply(item, now_ms)
 
+    def hear_of(self, revision: int, now_ms: int) -> None:
+        """Record that another host has read the store at a revision."""
+        known = self._heard_restore and self._heard_restore[0]
+        if revisions.is_restored(known or self.revision, revision):
+            self._heard_restore = (revision, now_ms)
+
+    def _restored_at_ms(self, revision: int, now_ms: int) -> int:
+        """Return when this host first heard of the era of a revision."""
+        match self._heard_restore:
+            case (heard, at_ms) if not revisions.is_restored(heard, revision):
+                return at_ms
+            case _:
+                return now_ms
+
     def _start_era(self, revision: int) -> None:
         """Prepare for the content of a store that has been restored."""
         log.warning(
@@ -174,7 +190,7 @@
         )
         self._departures.record_restore(revision)
 
-    def _retain(self, key: str, now_ms: int) -> None:
+    def _retain(self, key: str, restored_at_ms: int) -> None:
         """Keep an entry that a restored store lacks for a while.
 
         Owners write again what was written since the copy was made.
@@ -183,10 +199,10 @@
         if key.startswith(wire.SERVERS_PREFIX):
             server_id = key.removeprefix(wire.SERVERS_PREFIX)
             self._departures.release(server_id)
-            self._servers.retain(server_id, now_ms)
+            self._servers.retain(server_id, restored_at_ms)
         elif key.startswith(wire.ENTRY_HOSTS_PREFIX):
             name = key.removeprefix(wire.ENTRY_HOSTS_PREFIX)
-            self._hosts.retain(name, now_ms)
+            self._hosts.retain(name, restored_at_ms)
             self._removed_hosts.add(name)
 
     def apply(self, event: store.Event, now_ms: int) -> None:
--- a/src/cardamomdeal/entry/fleet_synchronizer.py
+++ b/src/cardamomdeal/entry/fleet_synchronizer.py
@@ -293,6 +293,7 @@
             # This host restarted while the store does not serve it.
             self._request_view(now_ms, sender)
         elif revisions.is_restored(self._state.revision, revision):
+            self._state.hear_of(revision, now_ms)
             self._freshness.record_restore()
             self._update_store_reading()
         elif revision > self._state.revision:
--- a/src/cardamomdeal/fleet/registry.py
+++ b/src/cardamomdeal/fleet/registry.py
@@ -61,11 +61,11 @@
         if entry is not None and now_ms < self._grace_until_ms:
             self._retained[name] = RetainedEntry(entry, self._grace_until_ms)
 
-    def retain(self, name: str, now_ms: int) -> None:
+    def retain(self, name: str, restored_at_ms: int) -> None:
         """Keep an entry that a restored store lacks for a grace period."""
         entry = self._present.pop(name, None)
         if entry is not None:
-            until_ms = now_ms + EXPIRY_GRACE_MS
+            until_ms = restored_at_ms + EXPIRY_GRACE_MS
             self._retained[name] = RetainedEntry(entry, until_ms)
 
     def is_retained(self, name: str) -> bool:
