Hold servers back anew after a second restore

A server that had left was used again when the store was restored twice within some seconds.

Cause: the hold that the first restore had started ended beside the copy of the second, whose entries have their own time to expire. Besides, only the last number of a server's ready entries was kept, and a second copy may hold an earlier content with a higher one.

Change: a restore ends all holds, and what its copy holds of servers that left starts them again; the highest number is kept.

--- a/src/cardamomdeal/fleet/departures.py
+++ b/src/cardamomdeal/fleet/departures.py
@@ -19,7 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Departure:
-    """When a server left, and the number of its last ready entry before."""
+    """When a server left, and the highest number of its ready entries.
+
+    Not only the last number: each restore may bring an earlier content back.
+    """
 
     at_ms: int
     ready_number: int
@@ -30,7 +33,7 @@
 
     def __init__(self, heartbeat_ms: int) -> None:
         self._hold_ms = EXPIRY_HEARTBEATS * heartbeat_ms + REWRITE_MS
-        # Numbers of the revisions of servers that are ready.
+        # Highest numbers of the revisions of servers that are ready.
         self._ready_numbers: dict[model.Incarnation, int] = {}
         # The oldest departure first.
         self._departures: dict[model.Incarnation, Departure] = {}
@@ -59,6 +62,8 @@
     def record_restore(self, revision: int) -> None:
         """Record the revision at which a restored store was read."""
         self._restored_revision = revision
+        # An entry in this copy has its own time to expire.
+        self._held_until_ms.clear()
 
     def holds_back(
         self, server: model.BackendServer, revision: int, now_ms: int
@@ -67,7 +72,7 @@
 
         An entry that was written since the restore counts, as does one that
         has outlived the time in which it would have expired. The copy holds
-        the last ready entry before the departure, or an earlier one.
+        an entry that was seen before the departure, or an earlier one.
         """
         departure = self._departures.get(server.incarnation)
         is_held = (
@@ -87,8 +92,15 @@
 
     def record_ready(self, server: model.BackendServer, revision: int) -> None:
         """Record that a server is in use, by the entry of a revision."""
-        self._ready_numbers[server.incarnation] = revisions.number(revision)
-        self._departures.pop(server.incarnation, None)
+        incarnation = server.incarnation
+        numbers = [
+            revisions.number(revision),
+            self._ready_numbers.get(incarnation, 0),
+        ]
+        departure = self._departures.pop(incarnation, None)
+        if departure is not None:
+            numbers.append(departure.ready_number)
+        self._ready_numbers[incarnation] = max(numbers)
         self._held_until_ms.pop(server.server_id, None)
 
     def release(self, server_id: str) -> None:
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -102,6 +102,14 @@
         self.state.expire(RESTORED_AT_MS + HOLD_MS)
         self.assertEqual(['i-1'], self.ready_servers())
 
+    def test_second_restore_starts_the_hold_again(self):
+        self.state.apply(store.Removal(KEY, 6), LEFT_AT_MS)
+        self.restore(self.copied())
+        second_ms = RESTORED_AT_MS + HOLD_MS - 1_000
+        self.restore(self.copied(era=2), era=2, now_ms=second_ms)
+        self.state.expire(second_ms + HOLD_MS - 1)
+        self.assertEqual((), self.state.servers())
+
     def test_earlier_incarnation_of_a_server_stays_away(self):
         restarted = entry(born=1_788_000_009_000)
         self.state.apply(store.Item(KEY, restarted, 6), LEFT_AT_MS)
