Watch on from the last reported change, not from the stated revision

By reading, while looking for ways in which a change counts as known and is not: a store that withholds changes for a moment before it loses its history may end a watch with its newest revision and no change. The host then went on behind what it had missed, and told others so; nothing brought the changes to them until the next write of the same keys.

Evidence: tests.contract.test_store_follower.StoreFollowerTest. test_watch_that_withholds_changes_is_repeated failed: watches after 5, 9 and 9 where 5, 5 and 7 are right.

Change: the revision of a watch's answer is that of its last change. All keys are watched, so a revision without a change tells nothing else.

Result: the test passes, with those of revocation and of a restored store. Whether the users' store answers so is not known.

--- a/src/cardamomdeal/entry/store_follower.py
+++ b/src/cardamomdeal/entry/store_follower.py
@@ -168,7 +168,11 @@
             lambda changes: messages.StoreChanged(
                 after_revision,
                 tuple(map(redaction.redact, changes.events)),
-                changes.revision,
+                # Not what the store states: it may withhold changes.
+                max(
+                    (event.revision for event in changes.events),
+                    default=after_revision,
+                ),
                 asked_at_ms,
             )
         )
--- a/tests/contract/test_store_follower.py
+++ b/tests/contract/test_store_follower.py
@@ -223,6 +223,26 @@
         self.wait_until_reported(2)
         self.assertLess(time.monotonic() - started_s, 2.0)
 
+    def test_watch_that_withholds_changes_is_repeated(self):
+        # A store that is about to lose its history may state a newer revision
+        # without the changes before it. The next watch began behind them.
+        client = mock.Mock(spec=store.StoreClient)
+        client.range.return_value = Success(store.Range((), 5))
+        item = store.Item('a', b'', 7)
+        client.watch.side_effect = [
+            Success(store.Changes((), 9)),
+            Success(store.Changes((item,), 9)),
+            Success(store.Changes((), 9)),
+        ]
+        follower = store_follower.StoreFollower(
+            mock.Mock(), client, clock.Clock()
+        )
+        follower.receive(messages.FollowStore(True, 0, 0))
+        for _ in range(4):
+            follower.receive(messages.PollStore())
+        watched = [call.args[1] for call in client.watch.call_args_list]
+        self.assertEqual([5, 5, 7], watched)
+
     def test_lost_history_is_made_up_for_at_once(self):
         # The interval between two calls delayed the complete read.
         client = mock.Mock(spec=store.StoreClient)
